--- /dev/null
+++ b/include/endivelever/decide/document_table.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "endivelever/base/ids.hpp"
+#include "endivelever/wire/messages.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace endivelever {
+
+/// Highest known version of each document. A version never goes back.
+struct document_table {
+    std::map<document_key, document_message> documents;
+    std::uint64_t conflicts = 0; ///< same version seen with another payload: the store or a peer is wrong
+};
+
+/// Keys of the documents of section 5.1 of docs/design.md.
+inline const document_key in_force_key{"preset/in-force"};
+inline const document_key drains_key{"drains"};
+inline const document_key vm_list_key{"vm-list"};
+
+/// Takes a document over if its version is higher than the known one.
+/// @return true if the table changed
+bool merge_document(document_table& table, const document_message& incoming);
+
+/// @return version of a document; 0 if unknown
+document_version version_of(const document_table& table, const document_key& key);
+
+/// @return key and version of every document
+std::vector<document_digest> digests_of(const document_table& table);
+
+/// @return documents that are newer here than in a peer's digests
+std::vector<document_message> newer_than(const document_table& table,
+                                         const std::vector<document_digest>& digests);
+
+} // namespace endivelever
--- /dev/null
+++ b/include/endivelever/decide/observe.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "endivelever/decide/server_view.hpp"
+
+#include <optional>
+
+namespace endivelever {
+
+/// How one attempt at a server ended, for the server's view.
+enum class attempt_end {
+    answered,  ///< a response of the application
+    shed,      ///< the server states that it did not run the call
+    failed,    ///< server error, broken connection or connect failure
+    timed_out, ///< no response in time
+    cancelled  ///< given up by the caller or a hedge; says nothing about the server
+};
+
+/// Notes that a call was sent to a server.
+void note_dispatch(server_view& view, time_point now);
+
+/// Notes how a call ended and removes it from the in-flight list.
+/// @param started  time passed to note_dispatch()
+/// @param report   load report of the response, if it carried one
+void note_end(server_pool& pool, server_view& view, time_point started, time_point now, attempt_end end,
+              const std::optional<load_report>& report);
+
+/// Notes a load report from a probe.
+void note_report(server_view& view, const load_report& report, time_point now);
+
+/// Ejects stragglers by the age of their calls, ends ejections and warm-ups. Call every few milliseconds.
+void review_servers(server_pool& pool, time_point now);
+
+} // namespace endivelever
--- /dev/null
+++ b/include/endivelever/decide/server_view.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "endivelever/base/ids.hpp"
+#include "endivelever/base/time.hpp"
+#include "endivelever/config/settings.hpp"
+#include "endivelever/config/vm_list.hpp"
+#include "endivelever/decide/load_report.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace endivelever {
+
+enum class server_state { warming, serving, ejected };
+
+/// Who said that a server is leaving. Any one source is enough; no other source overrides it.
+enum class drain_source : std::uint8_t { vm_list = 1, operators = 2, load_report = 4 };
+
+/// What one entry knows of one server.
+struct server_view {
+    listed_server listed;
+    std::uint32_t slots = 1;
+    std::uint32_t connection_share = 1; ///< connections this entry may open
+    server_state state = server_state::warming;
+    std::uint8_t drain_sources = 0;    ///< bits of drain_source
+    std::vector<time_point> in_flight; ///< start times of this entry's calls, oldest first
+    duration latency_estimate{};       ///< smoothed time from dispatch to response head, successes only
+    load_report last_report;
+    std::uint32_t in_flight_at_report = 0; ///< own calls when the report arrived
+    time_point reported_at{};
+    double failure_ratio = 0.0;  ///< smoothed, 0 to 1
+    std::uint32_t ejections = 0; ///< consecutive, lengthens the next ejection
+    time_point ejected_until{};
+    time_point warm_since{};
+    time_point last_probe{};
+};
+
+/// All servers of one service as one entry sees them.
+struct server_pool {
+    service_settings service;
+    failure_domain own_domain; ///< failure domain of the entry
+    vm_id own_vm;
+    std::vector<server_view> servers;
+    std::uint32_t live_entries = 1; ///< entries that share the servers
+    duration latency_estimate{};    ///< smoothed over all servers
+    std::uint32_t round_robin_next = 0;
+};
+
+/// Position in server_pool::servers. Valid until update_servers().
+using server_index = std::size_t;
+
+/// True if any source says that the server is leaving.
+inline bool is_draining(const server_view& view) {
+    return view.drain_sources != 0;
+}
+
+/// Replaces the list of servers and keeps what is known of those that stay.
+/// In-flight counts of servers that left the list are dropped with them.
+/// @param listed       servers of this service from the VM list
+/// @param drained      servers drained by operators
+void update_servers(server_pool& pool, const std::vector<listed_server>& listed,
+                    const std::vector<server_id>& drained, std::uint32_t live_entries, time_point now);
+
+/// @return index of the server, or servers.size() if it is not listed
+server_index find_server(const server_pool& pool, const server_id& id);
+
+} // namespace endivelever
--- /dev/null
+++ b/include/endivelever/net/http_client.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "endivelever/base/time.hpp"
+#include "endivelever/config/settings.hpp"
+#include "endivelever/net/http_header.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+struct ev_loop;
+
+namespace endivelever {
+
+enum class transfer_failure {
+    none,    ///< complete response
+    connect, ///< no connection; nothing was sent
+    timeout, ///< deadline or progress limit passed
+    broken,  ///< connection closed or reset before the response was complete
+    cancelled,
+    second_send, ///< libcurl wanted to send the request again and was refused
+    other
+};
+
+/// How a transfer ended.
+struct transfer_result {
+    transfer_failure failure = transfer_failure::none;
+    bool sent = false;   ///< the request may have left this process; false means certainly not
+    unsigned status = 0; ///< 0 if no response head arrived
+    bool new_connection = false;
+    std::string detail; ///< libcurl's message, for logs
+};
+
+/// One HTTP request. It is sent at most once, whatever happens to its connection.
+struct http_request {
+    std::string method = "GET";
+    socket_address address;
+    std::string target = "/"; ///< path with query
+    http_headers headers;
+    std::optional<std::uint64_t> content_length; ///< empty with `has_body` means chunked
+    bool has_body = false;
+    std::string body; ///< whole body; used when on_read is not set
+    duration timeout = std::chrono::seconds(10);
+    duration connect_timeout = std::chrono::seconds(1);
+    /// Ends the transfer as `timeout` if no byte moved for this long; 0 means no such limit.
+    duration progress_timeout{};
+};
+
+/// Result of asking for more request body.
+enum class read_state { data, pause, end, abort };
+
+struct transfer_handlers {
+    /// Fills `buf` with up to `size` bytes and sets `count`. Not called again after pause until resume().
+    std::function<read_state(char* buf, std::size_t size, std::size_t& count)> on_read;
+    std::function<void(unsigned status, const http_headers& headers)> on_head;
+    /// @return false to pause; the same data is delivered again after resume()
+    std::function<bool(std::string_view data)> on_body;
+    std::function<void(const transfer_result& end)> on_done; ///< last callback
+};
+
+using transfer_id = std::uint64_t;
+
+/// HTTP/1.1 client on a libev loop with kept-alive connections per address.
+class http_client {
+  public:
+    /// @param max_connections_per_address  0 means no limit; further transfers wait for a free connection
+    http_client(struct ev_loop* loop, std::uint32_t max_connections_per_address);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+    http_client(http_client&&) = delete;
+    http_client& operator=(http_client&&) = delete;
+
+    /// Starts a transfer. Callbacks come from the loop, never from within this call.
+    transfer_id start(http_request request, transfer_handlers callbacks);
+    /// Ends a transfer and closes its connection; on_done is not called. Unknown ids are ignored.
+    void cancel(transfer_id id);
+    /// Continues a paused read or write.
+    void resume(transfer_id id);
+    /// Closes idle connections to an address before their next use.
+    void discard_idle(const socket_address& address);
+
+  private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+/// Collects a small response and calls `on_done` once with status, headers and body.
+struct http_reply {
+    transfer_result end;
+    http_headers headers;
+    std::string body; ///< cut off as `broken` above `max_body`
+};
+transfer_id fetch(http_client& client, http_request request, byte_count max_body,
+                  std::function<void(const http_reply&)> on_done);
+
+} // namespace endivelever
--- /dev/null
+++ b/include/endivelever/net/http_server.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "endivelever/base/result.hpp"
+#include "endivelever/base/time.hpp"
+#include "endivelever/config/settings.hpp"
+#include "endivelever/net/http_header.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+struct ev_loop;
+
+namespace endivelever {
+
+/// One request in progress and its response. Owned by the server; valid until on_closed returns.
+class http_exchange {
+  public:
+    virtual ~http_exchange() = default;
+    [[nodiscard]] virtual const std::string& method() const = 0;
+    [[nodiscard]] virtual const std::string& target() const = 0; ///< path with query
+    [[nodiscard]] virtual std::string path() const = 0;          ///< path without query
+    [[nodiscard]] virtual const http_headers& headers() const = 0;
+    /// Body length if the request names one; empty for chunked bodies; 0 without body.
+    [[nodiscard]] virtual std::optional<std::uint64_t> content_length() const = 0;
+
+    /// Stops reading the request body until resume_body(); on_body is not called meanwhile.
+    virtual void pause_body() = 0;
+    virtual void resume_body() = 0;
+
+    /// Sends a complete response. May be called from on_head on; the rest of the request body is discarded.
+    virtual void respond(unsigned status, const http_headers& headers, std::string body) = 0;
+
+    /// Starts a streamed response. Without a length the body is sent chunked.
+    virtual void begin_response(unsigned status, const http_headers& headers,
+                                std::optional<std::uint64_t> length) = 0;
+    /// Appends to the response body. The buffer has a soft limit: stop when writable_bytes() is 0.
+    virtual void write(std::string_view data) = 0;
+    [[nodiscard]] virtual std::size_t writable_bytes() const = 0;
+    /// Completes a streamed response.
+    virtual void finish() = 0;
+    /// Closes the connection so that the caller cannot take the body for whole.
+    virtual void abort() = 0;
+
+    void* context = nullptr; ///< free for the user of the server
+};
+
+/// HTTP/1.1 server on a libev loop. All callbacks run on the loop's thread.
+class http_server {
+  public:
+    struct handlers {
+        std::function<void(http_exchange&)> on_head;                   ///< request line and headers arrived
+        std::function<void(http_exchange&, std::string_view)> on_body; ///< part of the body
+        std::function<void(http_exchange&)> on_body_end;               ///< body complete
+        std::function<void(http_exchange&)> on_writable;               ///< response buffer drained
+        std::function<void(http_exchange&, bool completed)> on_closed; ///< last; false if cut off
+    };
+    struct options {
+        std::uint32_t max_connections = 4000;
+        byte_count max_header_size{16U * 1024U};
+        duration idle_timeout = std::chrono::seconds(60);
+        byte_count response_buffer{256U * 1024U}; ///< soft limit of a streamed response held in memory
+    };
+
+    /// @return the server, or error [net.N] if the address cannot be bound
+    static result<std::unique_ptr<http_server>> open(struct ev_loop* loop, const socket_address& address,
+                                                     const options& opts, handlers callbacks);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const;
+    [[nodiscard]] std::size_t open_exchanges() const;
+    /// Closes the listening socket and sends "Connection: close" with every further response.
+    void stop_accepting();
+
+  private:
+    struct state;
+    explicit http_server(std::unique_ptr<state> it);
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace endivelever
