Add the first version of server choice, admission and retries

Cause: the entry process needs every function of these headers. Server views gain report error, shed pressure and the time of the last answer; note_first_attempt() takes the retries made by earlier hops. No policy is measured yet. Conclusion: the interfaces can be used; the policies follow.

--- a/include/endivelever/decide/retry.hpp
+++ b/include/endivelever/decide/retry.hpp
@@ -25,9 +25,11 @@
 
 constexpr std::uint32_t max_attempts = 3;
 
-/// Credits the budget for a first attempt.
-/// @param ratio  retries per first attempt, 0 to 1
-void note_first_attempt(retry_budget& budget, double ratio);
+/// Credits the budget for a first attempt, or debits it when the call itself is a retry of an earlier hop,
+/// so that the retries of all hops together stay within the ratio.
+/// @param ratio           retries per first attempt, 0 to 1
+/// @param caller_attempt  retries already made by hops before this one
+void note_first_attempt(retry_budget& budget, double ratio, std::uint32_t caller_attempt = 0);
 
 /// Decides on a retry and takes a token if it is allowed.
 bool allow_retry(retry_budget& budget, const failed_attempt& attempt);
--- a/include/endivelever/decide/server_view.hpp
+++ b/include/endivelever/decide/server_view.hpp
@@ -33,6 +33,12 @@
     time_point ejected_until{};
     time_point warm_since{};
     time_point last_probe{};
+    time_point last_answer_at{};    ///< last response of the application
+    time_point drain_reported_at{}; ///< last report with the draining mark
+    duration report_error{};        ///< smoothed observed latency minus the latency that reports imply
+    double shed_pressure = 0.0;     ///< recent sheds, decays by time since shed_at
+    time_point shed_at{};
+    bool in_subset = true; ///< among the servers that this entry prefers
 };
 
 /// All servers of one service as one entry sees them.
@@ -44,6 +50,7 @@
     std::uint32_t live_entries = 1; ///< entries that share the servers
     duration latency_estimate{};    ///< smoothed over all servers
     std::uint32_t round_robin_next = 0;
+    double others_per_server = 0.0; ///< smoothed calls of other entries on a server, from reports
 };
 
 /// Position in server_pool::servers. Valid until update_servers().
--- /dev/null
+++ b/src/decide/choose_server.cpp
@@ -0,0 +1,170 @@
+#include "endivelever/decide/choose_server.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace endivelever {
+namespace detail {
+
+using namespace std::chrono_literals;
+
+constexpr duration initial_latency = 5ms;
+// Below this share of usable servers the ejected ones are used too: an entry that sees most of a pool fail
+// is more likely wrong about the pool than right.
+constexpr double panic_share = 0.5;
+// Random factor on scores; keeps entries that hold the same reports from all picking the same server.
+constexpr double score_jitter = 0.1;
+constexpr double far_domain_factor = 1.2;
+constexpr double warming_factor = 3.0;
+constexpr duration warm_up = 2s;
+constexpr double failure_penalty = 20.0;
+
+duration scaled(duration value, double factor) {
+    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
+}
+
+duration pool_latency(const server_pool& pool) {
+    return pool.latency_estimate > duration::zero() ? pool.latency_estimate : initial_latency;
+}
+
+duration service_time(const server_pool& pool, const server_view& view) {
+    if (view.last_report.service_time > duration::zero()) {
+        return view.last_report.service_time;
+    }
+    return view.latency_estimate > duration::zero() ? view.latency_estimate : pool_latency(pool);
+}
+
+/// Half of a report's weight is gone after this age: two service times, in which a server's calls turn over.
+double report_weight(const server_view& view, duration service, time_point now) {
+    if (view.reported_at == time_point{}) {
+        return 0.0;
+    }
+    const auto half_life = static_cast<double>(2 * service.count() + 1);
+    return half_life / (half_life + static_cast<double>((now - view.reported_at).count()));
+}
+
+double calls_of_others(const server_pool& pool, const server_view& view, double weight) {
+    const double all = static_cast<double>(view.last_report.running) + view.last_report.queued;
+    const double reported = std::max(0.0, all - view.in_flight_at_report);
+    return weight * reported + (1.0 - weight) * pool.others_per_server;
+}
+
+double decay_of(duration age, duration half_life) {
+    return static_cast<double>(half_life.count()) / static_cast<double>((half_life + age).count());
+}
+
+double penalty_factor(const server_view& view, time_point now) {
+    double factor = 1.0 + failure_penalty * view.failure_ratio;
+    if (view.shed_pressure > 0.0) {
+        factor += view.shed_pressure * decay_of(now - view.shed_at, 20ms);
+    }
+    if (view.state == server_state::warming) {
+        const auto left =
+            std::clamp(duration(warm_up - (now - view.warm_since)), duration::zero(), duration(warm_up));
+        factor *= 1.0 + (warming_factor - 1.0) * to_seconds(left) / to_seconds(warm_up);
+    }
+    return factor;
+}
+
+struct eligibility {
+    bool use_ejected = false;
+};
+
+eligibility pool_eligibility(const server_pool& pool) {
+    std::size_t staying = 0;
+    std::size_t usable = 0;
+    for (const auto& it : pool.servers) {
+        staying += is_draining(it) ? 0 : 1;
+        usable += is_draining(it) || it.state == server_state::ejected ? 0 : 1;
+    }
+    return {static_cast<double>(usable) < panic_share * static_cast<double>(staying)};
+}
+
+bool may_take(const server_view& view, const std::vector<server_id>& excluded, eligibility rule) {
+    if (is_draining(view) || view.in_flight.size() >= view.connection_share) {
+        return false;
+    }
+    if (view.state == server_state::ejected && !rule.use_ejected) {
+        return false;
+    }
+    return std::find(excluded.begin(), excluded.end(), view.listed.id) == excluded.end();
+}
+
+double wait_score(const server_pool& pool, const server_view& view, time_point now, random_source& random) {
+    const double wait = to_seconds(estimated_wait(pool, view, now));
+    const double far = view.listed.failure_domain == pool.own_domain ? 1.0 : far_domain_factor;
+    return wait * far * (1.0 + score_jitter * random_unit(random));
+}
+
+double score(const server_pool& pool, server_index index, time_point now, random_source& random) {
+    const auto& view = pool.servers[index];
+    switch (pool.service.choice) {
+    case choice_policy::estimated_wait:
+        return wait_score(pool, view, now, random);
+    case choice_policy::least_in_flight:
+        return static_cast<double>(view.in_flight.size()) + random_unit(random);
+    case choice_policy::round_robin:
+        return static_cast<double>(
+            (index + pool.servers.size() - pool.round_robin_next % pool.servers.size()) %
+            pool.servers.size());
+    case choice_policy::two_choices:
+    case choice_policy::random:
+        break;
+    }
+    return random_unit(random);
+}
+
+std::optional<server_index> lowest_score(const server_pool& pool, const std::vector<server_id>& excluded,
+                                         std::optional<server_index> without, time_point now,
+                                         random_source& random) {
+    const auto rule = pool_eligibility(pool);
+    std::optional<server_index> best;
+    double best_score = std::numeric_limits<double>::infinity();
+    for (server_index i = 0; i < pool.servers.size(); ++i) {
+        if (i == without || !may_take(pool.servers[i], excluded, rule)) {
+            continue;
+        }
+        const double value = score(pool, i, now, random);
+        if (value < best_score) {
+            best_score = value;
+            best = i;
+        }
+    }
+    return best;
+}
+
+} // namespace detail
+
+duration estimated_wait(const server_pool& pool, const server_view& view, time_point now) {
+    const auto service = detail::service_time(pool, view);
+    const double weight = detail::report_weight(view, service, now);
+    const double calls =
+        static_cast<double>(view.in_flight.size()) + detail::calls_of_others(pool, view, weight);
+    auto wait = detail::scaled(service, std::max(1.0, (calls + 1.0) / view.slots));
+    if (view.report_error > duration::zero()) {
+        wait += detail::scaled(view.report_error,
+                               detail::decay_of(now - view.last_answer_at, std::chrono::milliseconds(200)));
+    }
+    if (!view.in_flight.empty()) {
+        const auto age = now - view.in_flight.front();
+        wait = age > 2 * wait ? age : wait;
+    }
+    return detail::scaled(wait, detail::penalty_factor(view, now));
+}
+
+std::optional<server_index> choose_server(server_pool& pool, const std::vector<server_id>& excluded,
+                                          time_point now, random_source& random) {
+    auto chosen = detail::lowest_score(pool, excluded, std::nullopt, now, random);
+    if (chosen && pool.service.choice == choice_policy::two_choices) {
+        const auto other = detail::lowest_score(pool, excluded, chosen, now, random);
+        if (other && pool.servers[*other].in_flight.size() < pool.servers[*chosen].in_flight.size()) {
+            chosen = other;
+        }
+    }
+    if (chosen && pool.service.choice == choice_policy::round_robin) {
+        pool.round_robin_next = static_cast<std::uint32_t>((*chosen + 1) % pool.servers.size());
+    }
+    return chosen;
+}
+
+} // namespace endivelever
--- /dev/null
+++ b/src/decide/retry.cpp
@@ -0,0 +1,44 @@
+#include "endivelever/decide/retry.hpp"
+
+#include <algorithm>
+
+namespace endivelever {
+namespace detail {
+
+// A retry that cannot be answered within this time only adds load.
+constexpr duration min_deadline_left = std::chrono::milliseconds(1);
+
+bool is_safe_to_repeat(const failed_attempt& attempt) {
+    if (attempt.response_started || !attempt.body_replayable) {
+        return false;
+    }
+    return attempt.certainly_not_run || attempt.idempotent;
+}
+
+} // namespace detail
+
+void note_first_attempt(retry_budget& budget, double ratio, std::uint32_t caller_attempt) {
+    const double change = caller_attempt > 0 ? -1.0 : std::clamp(ratio, 0.0, 1.0);
+    budget.tokens = std::clamp(budget.tokens + change, -budget.max_tokens, budget.max_tokens);
+}
+
+bool allow_retry(retry_budget& budget, const failed_attempt& attempt) {
+    if (!detail::is_safe_to_repeat(attempt)) {
+        return false;
+    }
+    // A hop that already repeats the call has the budget for it; a second repetition here would multiply.
+    if (attempt.caller_attempt > 0 || attempt.attempts >= max_attempts) {
+        return false;
+    }
+    if (attempt.deadline_left < detail::min_deadline_left || budget.tokens < 1.0) {
+        return false;
+    }
+    budget.tokens -= 1.0;
+    return true;
+}
+
+bool may_say_not_run(const failed_attempt& attempt) {
+    return attempt.certainly_not_run && !attempt.response_started;
+}
+
+} // namespace endivelever
--- /dev/null
+++ b/src/decide/server_view.cpp
@@ -0,0 +1,60 @@
+#include "endivelever/decide/server_view.hpp"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace endivelever {
+namespace detail {
+
+void set_drain_bit(server_view& view, drain_source source, bool draining) {
+    const auto bit = static_cast<std::uint8_t>(source);
+    view.drain_sources =
+        static_cast<std::uint8_t>(draining ? view.drain_sources | bit : view.drain_sources & ~bit);
+}
+
+void apply_listing(server_view& view, const listed_server& listed, const server_pool& pool) {
+    view.listed = listed;
+    view.slots = std::max(1U, listed.slots != 0 ? listed.slots : pool.service.slots_per_server);
+    const auto connections =
+        listed.connections != 0 ? listed.connections : pool.service.connections_per_server;
+    view.connection_share = std::max(1U, connections / std::max(1U, pool.live_entries));
+}
+
+server_view view_of(const server_pool& pool, const listed_server& listed, time_point now) {
+    const auto index = find_server(pool, listed.id);
+    if (index < pool.servers.size() && pool.servers[index].listed.address == listed.address) {
+        return pool.servers[index];
+    }
+    server_view fresh;
+    fresh.warm_since = now;
+    return fresh;
+}
+
+bool contains(const std::vector<server_id>& ids, const server_id& id) {
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace detail
+
+void update_servers(server_pool& pool, const std::vector<listed_server>& listed,
+                    const std::vector<server_id>& drained, std::uint32_t live_entries, time_point now) {
+    pool.live_entries = std::max(1U, live_entries);
+    std::vector<server_view> servers;
+    servers.reserve(listed.size());
+    for (const auto& it : listed) {
+        auto view = detail::view_of(pool, it, now);
+        detail::apply_listing(view, it, pool);
+        detail::set_drain_bit(view, drain_source::vm_list, it.leaving);
+        detail::set_drain_bit(view, drain_source::operators, detail::contains(drained, it.id));
+        servers.push_back(std::move(view));
+    }
+    pool.servers = std::move(servers);
+}
+
+server_index find_server(const server_pool& pool, const server_id& id) {
+    const auto it = std::find_if(pool.servers.begin(), pool.servers.end(),
+                                 [&id](const server_view& view) { return view.listed.id == id; });
+    return static_cast<server_index>(it - pool.servers.begin());
+}
+
+} // namespace endivelever
--- /dev/null
+++ b/tests/unit/decide_admission_test.cpp
@@ -0,0 +1,124 @@
+#include "endivelever/decide/admission.hpp"
+
+#include <gtest/gtest.h>
+
+namespace endivelever {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr time_point start{100s};
+
+preset_kind_rule rule_of(const char* name, rank served_as, double share) {
+    return {.kind = kind_id(name),
+            .served_as = served_as,
+            .guaranteed_share = share,
+            .queue_items = 4,
+            .queue_bytes = {1000}};
+}
+
+service_admission two_kinds(admission_policy policy = admission_policy::ranked) {
+    service_admission admission;
+    admission.service.admission = policy;
+    admission.kinds.resize(2);
+    admission.kinds[0].kind = kind_id("status");
+    admission.kinds[1].kind = kind_id("order");
+    apply_capacity(admission, 16, 1, {});
+    preset rules;
+    rules.kinds = {rule_of("status", rank::low, 0.25), rule_of("order", rank::urgent, 0.25)};
+    apply_preset(admission, rules);
+    return admission;
+}
+
+waiting_call call_of(call_number number, std::size_t kind, time_point arrived = start,
+                     duration deadline = 1s) {
+    return {.call = number, .kind = kind, .arrived = arrived, .deadline = arrived + deadline, .held = {10}};
+}
+
+struct refusal_case {
+    const char* name;
+    waiting_call call;
+    std::size_t waiting;
+    bool has_preset;
+    refusal expected;
+};
+
+class refused_at_arrival : public testing::TestWithParam<refusal_case> {};
+
+// Guards against unbounded queues and against calls that wait in vain.
+TEST_P(refused_at_arrival, for_the_stated_reason) {
+    auto admission = two_kinds();
+    for (std::size_t i = 0; i < GetParam().waiting; ++i) {
+        ASSERT_EQ(enqueue(admission, call_of(100 + i, 0), start), refusal::none);
+    }
+    admission.has_preset = GetParam().has_preset;
+    EXPECT_EQ(enqueue(admission, GetParam().call, start), GetParam().expected);
+}
+
+waiting_call large_call() {
+    auto call = call_of(1, 0);
+    call.held = {1001};
+    return call;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    reasons, refused_at_arrival,
+    testing::Values(refusal_case{"accepted", call_of(1, 0), 3, true, refusal::none},
+                    refusal_case{"no_preset", call_of(1, 0), 0, false, refusal::no_preset},
+                    refusal_case{"items", call_of(1, 0), 4, true, refusal::queue_full},
+                    refusal_case{"bytes", large_call(), 0, true, refusal::queue_full},
+                    refusal_case{"deadline", call_of(1, 0, start, 0ms), 0, true, refusal::deadline_too_near}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against low-rank work that overtakes urgent work.
+TEST(take_next_order, urgent_first_and_first_come_within_a_kind) {
+    auto admission = two_kinds();
+    enqueue(admission, call_of(1, 0), start);
+    enqueue(admission, call_of(2, 0, start + 1ms), start + 1ms);
+    enqueue(admission, call_of(3, 1, start + 2ms), start + 2ms);
+    EXPECT_EQ(take_next(admission, start + 3ms)->call, 3U);
+    EXPECT_EQ(take_next(admission, start + 3ms)->call, 1U);
+}
+
+TEST(take_next_order, fifo_baseline_ignores_ranks) {
+    auto admission = two_kinds(admission_policy::fifo);
+    enqueue(admission, call_of(1, 0), start);
+    enqueue(admission, call_of(2, 1, start + 1ms), start + 1ms);
+    EXPECT_EQ(take_next(admission, start + 3ms)->call, 1U);
+}
+
+// Guards against a call whose caller is told "not run" while it still waits to run.
+TEST(waiting_calls, expired_and_removed_calls_are_never_taken) {
+    auto admission = two_kinds();
+    enqueue(admission, call_of(1, 0, start, 10ms), start);
+    enqueue(admission, call_of(2, 0), start);
+    enqueue(admission, call_of(3, 0), start);
+    EXPECT_TRUE(remove_waiting(admission, 0, 2));
+    EXPECT_FALSE(remove_waiting(admission, 0, 2));
+    const auto expired = take_expired(admission, start + 10ms);
+    ASSERT_EQ(expired.size(), 1U);
+    EXPECT_EQ(expired[0].call, 1U);
+    EXPECT_EQ(admission.kinds[0].queued_bytes.value, 10U);
+    EXPECT_EQ(take_next(admission, start + 10ms)->call, 3U);
+    EXPECT_FALSE(take_next(admission, start + 10ms));
+}
+
+// Guards against a kind that loses its guaranteed share to another kind's calls in progress.
+TEST(guaranteed_share, is_kept_while_another_kind_floods) {
+    auto admission = two_kinds();
+    for (auto& it : admission.kinds) {
+        it.window = 0.0;
+        it.rule.queue_items = 100;
+    }
+    for (call_number i = 0; i < 100; ++i) {
+        enqueue(admission, call_of(i, 1), start);
+        enqueue(admission, call_of(1000 + i, 0), start);
+    }
+    while (take_next(admission, start)) {
+    }
+    EXPECT_GE(admission.kinds[0].in_progress, 4U);
+    EXPECT_GE(admission.kinds[1].in_progress, 4U);
+}
+
+} // namespace
+} // namespace endivelever
