--- a/include/endivelever/decide/admission.hpp
+++ b/include/endivelever/decide/admission.hpp
@@ -30,24 +30,29 @@
 /// Admission state of one kind on one entry.
 struct kind_admission {
     kind_id kind;
-    preset_kind_rule rule;
-    std::deque<waiting_call> queue;
+    preset_kind_rule rule{};
+    std::deque<waiting_call> queue{};
     byte_count queued_bytes{};
     std::uint32_t in_progress = 0; ///< calls sent and not finished
     double window = 1.0;           ///< calls that may be in progress
     time_point last_cut{};
     duration latency_estimate{};
-    double demand_fraction = 1.0; ///< this entry's part of all entries' offered calls of this kind
+    double demand_fraction = 1.0;        ///< this entry's part of all entries' offered calls of this kind
+    time_point last_paced{};             ///< last call sent on the fractional part of the window
+    time_point standing_since{};         ///< since when calls wait long in the queue; 0 if they do not
+    time_point next_deadline{};          ///< no waiting call expires before this time
+    std::vector<waiting_call> expired{}; ///< taken out of the queue too late, not yet reported as expired
 };
 
 /// Admission state of one service on one entry: bounded queues, ranks, guaranteed shares, windows.
 struct service_admission {
-    service_settings service;
+    service_settings service{};
     bool has_preset = false;
-    std::vector<kind_admission> kinds;
+    std::vector<kind_admission> kinds{};
     std::uint32_t total_slots = 0; ///< over all serving servers
     std::uint32_t live_entries = 1;
     double smoothed_queue = 0.0; ///< waiting calls per slot as servers report them
+    duration service_time{};     ///< smoothed time in a slot as servers report it
 };
 
 /// Applies a preset. Calls that already wait keep their place.
@@ -57,10 +62,12 @@
 void apply_capacity(service_admission& admission, std::uint32_t total_slots, std::uint32_t live_entries,
                     const std::vector<double>& demand_fractions);
 
-/// Queues a call, or refuses it at once when the queue is full or the deadline cannot be met.
+/// Queues a call, or refuses it at once. The reason queue_full covers limits on items, bytes and expected
+/// delay; deadline_too_near means that no answer can be expected before the deadline.
 refusal enqueue(service_admission& admission, const waiting_call& call, time_point now);
 
-/// Takes the next call to send: urgent first, guaranteed shares kept, within the windows.
+/// Takes the next call to send: urgent first, guaranteed shares kept, within the windows. Call it after
+/// enqueue(), after note_finished() and every few milliseconds, since windows below 1 pace calls by time.
 /// @return the call, now counted as in progress, or nothing if none may be sent now
 std::optional<waiting_call> take_next(service_admission& admission, time_point now);
 
@@ -75,7 +82,7 @@
     bool shed = false;   ///< a server refused for overload
     bool failed = false; ///< no usable answer
     duration latency{};  ///< from dispatch to the end
-    std::optional<load_report> report;
+    std::optional<load_report> report{};
     std::uint32_t server_slots = 1;
 };
 
--- a/include/endivelever/decide/server_view.hpp
+++ b/include/endivelever/decide/server_view.hpp
@@ -32,6 +32,7 @@
     std::uint32_t ejections = 0; ///< consecutive, lengthens the next ejection
     time_point ejected_until{};
     time_point warm_since{};
+    duration warm_up = std::chrono::seconds(2); ///< length of the ramp that began at warm_since
     time_point last_probe{};
     time_point last_answer_at{};    ///< last response of the application
     time_point drain_reported_at{}; ///< last report with the draining mark
@@ -50,6 +51,7 @@
     std::uint32_t live_entries = 1; ///< entries that share the servers
     duration latency_estimate{};    ///< smoothed over all servers
     std::uint32_t round_robin_next = 0;
+    std::uint32_t subset_size = 0;  ///< servers that this entry prefers; 0 means the whole pool
     double others_per_server = 0.0; ///< smoothed calls of other entries on a server, from reports
 };
 
--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -1,16 +1,23 @@
 #include "endivelever/decide/admission.hpp"
 
+#include "concurrency_limit.hpp"
+
 #include <algorithm>
 
 namespace endivelever {
 namespace detail {
 
-double entry_share(const service_admission& admission, const kind_admission& kind) {
-    return static_cast<double>(admission.total_slots) * kind.demand_fraction;
-}
+using namespace std::chrono_literals;
 
-double floor_of(const service_admission& admission, const kind_admission& kind) {
-    return std::max(1.0, kind.rule.guaranteed_share * entry_share(admission, kind));
+constexpr double latency_smoothing = 0.125;
+// Calls that wait longer than the target for this long make a standing queue, the sign of overload; a
+// shorter one is a burst that drains by itself.
+constexpr duration standing_interval = 100ms;
+// Part of a call's time to its deadline that it may be expected to wait in a standing queue.
+constexpr int standing_wait_divisor = 4;
+
+bool is_fifo(const service_admission& admission) {
+    return admission.service.admission == admission_policy::fifo;
 }
 
 const preset_kind_rule* find_rule(const preset& rules, const kind_id& kind) {
@@ -20,25 +27,109 @@
 }
 
 bool fits(const kind_admission& kind, const waiting_call& call) {
-    return kind.queue.size() < kind.rule.queue_items &&
+    return kind.queue.size() + kind.expired.size() < kind.rule.queue_items &&
            kind.queued_bytes.value + call.held.value <= kind.rule.queue_bytes.value;
 }
 
-bool is_earlier(const service_admission& admission, const kind_admission& left, const kind_admission& right) {
-    if (admission.service.admission == admission_policy::ranked &&
-        left.rule.served_as != right.rule.served_as) {
-        return left.rule.served_as < right.rule.served_as;
+/// Least time to an answer; half of the mean, since single calls take less than the mean.
+duration least_latency(const service_admission& admission) {
+    return admission.service_time / 2;
+}
+
+time_point expiry_of(const service_admission& admission, const kind_admission& kind,
+                     const waiting_call& call) {
+    const auto by_deadline = call.deadline - least_latency(admission);
+    const auto limit = kind.rule.max_queue_delay;
+    return limit > duration::zero() ? std::min(by_deadline, call.arrived + limit) : by_deadline;
+}
+
+duration expected_wait(const service_admission& admission, const kind_admission& kind) {
+    const double window = effective_window(admission, kind);
+    const double ahead = static_cast<double>(kind.queue.size()) + 1.0 + kind.in_progress - window;
+    const double rounds = std::max(0.0, ahead) / window;
+    return from_milliseconds(to_milliseconds(expected_latency(kind)) * rounds);
+}
+
+bool has_standing_queue(const kind_admission& kind, time_point now) {
+    return kind.standing_since != time_point{} && now - kind.standing_since >= standing_interval;
+}
+
+duration allowed_wait(const kind_admission& kind, const waiting_call& call, time_point now) {
+    auto allowed = call.deadline - now;
+    if (kind.rule.max_queue_delay > duration::zero()) {
+        allowed = std::min(allowed, kind.rule.max_queue_delay);
     }
-    return left.queue.front().arrived < right.queue.front().arrived;
+    if (has_standing_queue(kind, now)) {
+        allowed = std::min(allowed, (call.deadline - now) / standing_wait_divisor);
+    }
+    return allowed;
+}
+
+refusal early_refusal(const service_admission& admission, const kind_admission& kind,
+                      const waiting_call& call, time_point now) {
+    // An empty queue always takes a call: without a new call an outdated estimate would never be corrected.
+    if (is_fifo(admission) || kind.queue.empty()) {
+        return refusal::none;
+    }
+    const auto wait = expected_wait(admission, kind);
+    if (now + wait + expected_latency(kind) > call.deadline) {
+        return refusal::deadline_too_near;
+    }
+    return wait > allowed_wait(kind, call, now) ? refusal::queue_full : refusal::none;
 }
 
 void drop_bytes(kind_admission& kind, const waiting_call& call) {
     kind.queued_bytes.value -= call.held.value;
 }
 
-bool is_expired(const kind_admission& kind, const waiting_call& call, time_point now) {
-    const auto limit = kind.rule.max_queue_delay;
-    return call.deadline <= now || (limit > duration::zero() && now - call.arrived >= limit);
+void move_expired_heads(const service_admission& admission, kind_admission& kind, time_point now) {
+    while (!kind.queue.empty() && expiry_of(admission, kind, kind.queue.front()) <= now) {
+        kind.expired.push_back(kind.queue.front());
+        kind.queue.pop_front();
+    }
+}
+
+void note_standing_queue(kind_admission& kind, time_point now) {
+    const bool waits = !kind.queue.empty() && now - kind.queue.front().arrived >= 2 * expected_latency(kind);
+    if (!waits) {
+        kind.standing_since = time_point{};
+    } else if (kind.standing_since == time_point{}) {
+        kind.standing_since = now;
+    }
+}
+
+bool fifo_has_room(const service_admission& admission) {
+    std::uint32_t total = 0;
+    for (const auto& it : admission.kinds) {
+        total += it.in_progress;
+    }
+    return total < std::max(1U, admission.total_slots);
+}
+
+bool may_send(const service_admission& admission, const kind_admission& kind, time_point now) {
+    if (kind.queue.empty()) {
+        return false;
+    }
+    return is_fifo(admission) ? fifo_has_room(admission) : has_room(admission, kind, now);
+}
+
+bool is_earlier(const service_admission& admission, const kind_admission& left, const kind_admission& right) {
+    if (!is_fifo(admission) && left.rule.served_as != right.rule.served_as) {
+        return left.rule.served_as < right.rule.served_as;
+    }
+    return left.queue.front().arrived < right.queue.front().arrived;
+}
+
+template <typename Queue>
+bool erase_call(Queue& queue, kind_admission& kind, call_number call) {
+    const auto it = std::find_if(queue.begin(), queue.end(),
+                                 [call](const waiting_call& waiting) { return waiting.call == call; });
+    if (it == queue.end()) {
+        return false;
+    }
+    drop_bytes(kind, *it);
+    queue.erase(it);
+    return true;
 }
 
 } // namespace detail
@@ -47,12 +138,14 @@
     for (auto& it : admission.kinds) {
         const auto* rule = detail::find_rule(rules, it.kind);
         it.rule = rule != nullptr ? *rule : preset_kind_rule{.kind = it.kind};
+        it.next_deadline = time_point{};
     }
     admission.has_preset = true;
 }
 
 void apply_capacity(service_admission& admission, std::uint32_t total_slots, std::uint32_t live_entries,
                     const std::vector<double>& demand_fractions) {
+    const bool first = admission.total_slots == 0;
     admission.total_slots = total_slots;
     admission.live_entries = std::max(1U, live_entries);
     for (std::size_t i = 0; i < admission.kinds.size(); ++i) {
@@ -60,6 +153,9 @@
         const double wanted = i < demand_fractions.size() ? demand_fractions[i] : equal;
         admission.kinds[i].demand_fraction = std::clamp(wanted, 0.0, 1.0);
     }
+    if (first) {
+        detail::start_windows(admission);
+    }
 }
 
 refusal enqueue(service_admission& admission, const waiting_call& call, time_point now) {
@@ -67,21 +163,29 @@
         return refusal::no_preset;
     }
     auto& kind = admission.kinds[call.kind];
-    if (call.deadline <= now) {
+    const auto expiry = detail::expiry_of(admission, kind, call);
+    if (expiry <= now) {
         return refusal::deadline_too_near;
     }
     if (!detail::fits(kind, call)) {
         return refusal::queue_full;
     }
+    const auto early = detail::early_refusal(admission, kind, call, now);
+    if (early != refusal::none) {
+        return early;
+    }
+    kind.next_deadline = kind.queue.empty() ? expiry : std::min(kind.next_deadline, expiry);
     kind.queue.push_back(call);
     kind.queued_bytes.value += call.held.value;
     return refusal::none;
 }
 
-std::optional<waiting_call> take_next(service_admission& admission, time_point /*now*/) {
+std::optional<waiting_call> take_next(service_admission& admission, time_point now) {
     kind_admission* next = nullptr;
     for (auto& it : admission.kinds) {
-        if (it.queue.empty() || it.in_progress >= std::max(it.window, detail::floor_of(admission, it))) {
+        detail::move_expired_heads(admission, it, now);
+        detail::note_standing_queue(it, now);
+        if (!detail::may_send(admission, it, now)) {
             continue;
         }
         if (next == nullptr || detail::is_earlier(admission, it, *next)) {
@@ -94,51 +198,56 @@
     const auto call = next->queue.front();
     next->queue.pop_front();
     detail::drop_bytes(*next, call);
-    ++next->in_progress;
+    detail::note_sent(admission, *next, now);
     return call;
 }
 
 std::vector<waiting_call> take_expired(service_admission& admission, time_point now) {
     std::vector<waiting_call> expired;
     for (auto& kind : admission.kinds) {
-        const auto end =
-            std::stable_partition(kind.queue.begin(), kind.queue.end(), [&](const waiting_call& call) {
-                return !detail::is_expired(kind, call, now);
-            });
-        std::for_each(end, kind.queue.end(),
-                      [&](const waiting_call& call) { detail::drop_bytes(kind, call); });
-        expired.insert(expired.end(), end, kind.queue.end());
+        if (kind.expired.empty() && now < kind.next_deadline - detail::least_latency(admission)) {
+            continue;
+        }
+        kind.next_deadline = time_point::max();
+        const auto is_waiting = [&](const waiting_call& call) {
+            const auto expiry = detail::expiry_of(admission, kind, call);
+            if (expiry > now) {
+                kind.next_deadline = std::min(kind.next_deadline, expiry);
+            }
+            return expiry > now;
+        };
+        const auto end = std::stable_partition(kind.queue.begin(), kind.queue.end(), is_waiting);
+        kind.expired.insert(kind.expired.end(), end, kind.queue.end());
         kind.queue.erase(end, kind.queue.end());
+        for (const auto& it : kind.expired) {
+            detail::drop_bytes(kind, it);
+        }
+        expired.insert(expired.end(), kind.expired.begin(), kind.expired.end());
+        kind.expired.clear();
     }
     return expired;
 }
 
 bool remove_waiting(service_admission& admission, std::size_t kind, call_number call) {
     auto& owner = admission.kinds[kind];
-    const auto it = std::find_if(owner.queue.begin(), owner.queue.end(),
-                                 [call](const waiting_call& waiting) { return waiting.call == call; });
-    if (it == owner.queue.end()) {
-        return false;
-    }
-    detail::drop_bytes(owner, *it);
-    owner.queue.erase(it);
-    return true;
+    return detail::erase_call(owner.queue, owner, call) || detail::erase_call(owner.expired, owner, call);
 }
 
 void note_finished(service_admission& admission, std::size_t kind, const admission_feedback& feedback,
                    time_point now) {
     auto& owner = admission.kinds[kind];
     owner.in_progress -= owner.in_progress > 0 ? 1U : 0U;
-    const bool queueing = feedback.report && feedback.report->queued > feedback.server_slots;
-    const double limit = std::max(1.0, static_cast<double>(2 * admission.total_slots));
-    if (!feedback.shed && !queueing) {
-        owner.window = std::min(limit, owner.window + 1.0 / std::max(1.0, owner.window));
-        return;
-    }
-    if (now - owner.last_cut >= feedback.latency) {
-        owner.window = std::max(1.0, owner.window * 0.7);
+    if (feedback.shed) {
         owner.last_cut = now;
+    } else if (!feedback.failed && feedback.latency > duration::zero()) {
+        const double change = static_cast<double>((feedback.latency - owner.latency_estimate).count());
+        const bool first = owner.latency_estimate == duration::zero();
+        owner.latency_estimate =
+            first ? feedback.latency
+                  : owner.latency_estimate +
+                        duration(static_cast<duration::rep>(change * detail::latency_smoothing));
     }
+    detail::adjust_windows(admission, feedback);
 }
 
 } // namespace endivelever
--- a/src/decide/choose_server.cpp
+++ b/src/decide/choose_server.cpp
@@ -14,10 +14,17 @@
 constexpr double panic_share = 0.5;
 // Random factor on scores; keeps entries that hold the same reports from all picking the same server.
 constexpr double score_jitter = 0.1;
-constexpr double far_domain_factor = 1.2;
+constexpr double far_domain_factor = 1.5;
+// An own call stands for calls of other entries too: they see the same slow server at the same time.
+constexpr double max_own_weight = 3.0;
+// Ages of own calls in flight show a slowdown before any response does.
+constexpr double age_weight = 2.0;
+constexpr double spill_factor = 1.5;
 constexpr double warming_factor = 3.0;
-constexpr duration warm_up = 2s;
 constexpr double failure_penalty = 20.0;
+// A server that gets no calls because of its error has it forgotten after this time, and is tried again.
+constexpr duration error_memory = 1s;
+constexpr duration shed_memory = 20ms;
 
 duration scaled(duration value, double factor) {
     return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
@@ -49,6 +56,24 @@
     return weight * reported + (1.0 - weight) * pool.others_per_server;
 }
 
+double calls_at_server(const server_pool& pool, const server_view& view, duration service, time_point now) {
+    const double own_weight = std::min(max_own_weight, static_cast<double>(pool.live_entries));
+    const double weight = report_weight(view, service, now);
+    return own_weight * static_cast<double>(view.in_flight.size()) + calls_of_others(pool, view, weight);
+}
+
+duration oldest_age(const server_view& view, time_point now) {
+    return view.in_flight.empty() ? duration::zero() : now - view.in_flight.front();
+}
+
+duration sum_of_ages(const server_view& view, time_point now) {
+    duration sum{};
+    for (const auto& it : view.in_flight) {
+        sum += now - it;
+    }
+    return sum;
+}
+
 double decay_of(duration age, duration half_life) {
     return static_cast<double>(half_life.count()) / static_cast<double>((half_life + age).count());
 }
@@ -56,12 +81,11 @@
 double penalty_factor(const server_view& view, time_point now) {
     double factor = 1.0 + failure_penalty * view.failure_ratio;
     if (view.shed_pressure > 0.0) {
-        factor += view.shed_pressure * decay_of(now - view.shed_at, 20ms);
+        factor += view.shed_pressure * decay_of(now - view.shed_at, shed_memory);
     }
     if (view.state == server_state::warming) {
-        const auto left =
-            std::clamp(duration(warm_up - (now - view.warm_since)), duration::zero(), duration(warm_up));
-        factor *= 1.0 + (warming_factor - 1.0) * to_seconds(left) / to_seconds(warm_up);
+        const auto left = std::clamp(view.warm_up - (now - view.warm_since), duration::zero(), view.warm_up);
+        factor *= 1.0 + (warming_factor - 1.0) * to_seconds(left) / to_seconds(view.warm_up);
     }
     return factor;
 }
@@ -93,7 +117,8 @@
 double wait_score(const server_pool& pool, const server_view& view, time_point now, random_source& random) {
     const double wait = to_seconds(estimated_wait(pool, view, now));
     const double far = view.listed.failure_domain == pool.own_domain ? 1.0 : far_domain_factor;
-    return wait * far * (1.0 + score_jitter * random_unit(random));
+    const double spill = view.in_subset ? 1.0 : spill_factor;
+    return wait * far * spill * (1.0 + score_jitter * random_unit(random));
 }
 
 double score(const server_pool& pool, server_index index, time_point now, random_source& random) {
@@ -137,18 +162,14 @@
 
 duration estimated_wait(const server_pool& pool, const server_view& view, time_point now) {
     const auto service = detail::service_time(pool, view);
-    const double weight = detail::report_weight(view, service, now);
-    const double calls =
-        static_cast<double>(view.in_flight.size()) + detail::calls_of_others(pool, view, weight);
+    const double calls = detail::calls_at_server(pool, view, service, now);
     auto wait = detail::scaled(service, std::max(1.0, (calls + 1.0) / view.slots));
     if (view.report_error > duration::zero()) {
         wait += detail::scaled(view.report_error,
-                               detail::decay_of(now - view.last_answer_at, std::chrono::milliseconds(200)));
-    }
-    if (!view.in_flight.empty()) {
-        const auto age = now - view.in_flight.front();
-        wait = age > 2 * wait ? age : wait;
+                               detail::decay_of(now - view.last_answer_at, detail::error_memory));
     }
+    wait = std::max(wait, detail::oldest_age(view, now));
+    wait += detail::scaled(detail::sum_of_ages(view, now), detail::age_weight / view.slots);
     return detail::scaled(wait, detail::penalty_factor(view, now));
 }
 
--- a/src/decide/observe.cpp
+++ b/src/decide/observe.cpp
@@ -8,24 +8,28 @@
 using namespace std::chrono_literals;
 
 constexpr double smoothing = 0.125;
+// Load shifts make single errors large; only a lasting contradiction shows that reports mislead.
+constexpr double error_smoothing = 1.0 / 64;
 // Six failures in a row move the smoothed ratio over this limit.
 constexpr double failure_limit = 0.5;
 constexpr duration min_straggler_age = 15ms;
-constexpr int straggler_factor = 4;
-constexpr duration first_ejection = 100ms;
+constexpr int straggler_factor = 6;
+constexpr duration first_ejection = 50ms;
 constexpr std::uint32_t max_ejection_doublings = 6;
 constexpr double max_ejected_share = 0.5;
-constexpr duration observed_warm_up = 2s;
+constexpr duration warm_up_after_ejection = 200ms;
+// An outlier counts as this many times the smoothed latency at most.
+constexpr int max_outlier = 4;
 // A server that reported a drain is used again only after this time without the mark, since reports of
 // calls that ended out of order may precede the drain.
 constexpr duration drain_memory = 5s;
 
+duration moved_towards(duration old, duration sample, double part) {
+    return old + duration(static_cast<duration::rep>(static_cast<double>((sample - old).count()) * part));
+}
+
 duration smoothed(duration old, duration sample) {
-    if (old == duration::zero()) {
-        return sample;
-    }
-    return old +
-           duration(static_cast<duration::rep>(static_cast<double>((sample - old).count()) * smoothing));
+    return old == duration::zero() ? sample : moved_towards(old, sample, smoothing);
 }
 
 void remove_in_flight(server_view& view, time_point started) {
@@ -45,11 +49,12 @@
                   const std::optional<load_report>& report) {
     view.latency_estimate = smoothed(view.latency_estimate, latency);
     // One outlier must not raise the limit that detects stragglers.
-    const auto limit = straggler_factor * pool.latency_estimate;
+    const auto limit = max_outlier * pool.latency_estimate;
     const bool first = pool.latency_estimate == duration::zero();
     pool.latency_estimate = smoothed(pool.latency_estimate, first ? latency : std::min(latency, limit));
     if (report && report->service_time > duration::zero()) {
-        view.report_error = smoothed(view.report_error, latency - implied_latency(view, *report));
+        const auto contradiction = latency - implied_latency(view, *report);
+        view.report_error = moved_towards(view.report_error, contradiction, error_smoothing);
     }
 }
 
@@ -99,6 +104,7 @@
     }
     view.state = server_state::warming;
     view.warm_since = now;
+    view.warm_up = warm_up_after_ejection;
     // The next failure ejects again at once; half of the limit lets a recovered server stay.
     view.failure_ratio = std::min(view.failure_ratio, failure_limit / 2);
 }
@@ -109,7 +115,7 @@
         eject(view, now);
         return;
     }
-    if (view.state == server_state::warming && now - view.warm_since >= observed_warm_up) {
+    if (view.state == server_state::warming && now - view.warm_since >= view.warm_up) {
         view.state = server_state::serving;
         view.ejections = 0;
     }
--- a/src/decide/server_view.cpp
+++ b/src/decide/server_view.cpp
@@ -1,6 +1,8 @@
 #include "endivelever/decide/server_view.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 #include <xxhash.h>
 
 namespace endivelever {
@@ -30,6 +32,25 @@
     return fresh;
 }
 
+/// Rendezvous hashing: each entry prefers the servers with the highest hash of entry and server.
+void mark_subset(server_pool& pool) {
+    std::vector<std::pair<XXH64_hash_t, server_view*>> ranked;
+    ranked.reserve(pool.servers.size());
+    const auto seed = XXH3_64bits(pool.own_vm.text.data(), pool.own_vm.text.size());
+    for (auto& it : pool.servers) {
+        const auto& id = it.listed.id.text;
+        ranked.emplace_back(XXH3_64bits_withSeed(id.data(), id.size(), seed), &it);
+        it.in_subset = true;
+    }
+    if (pool.subset_size == 0) {
+        return;
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    for (std::size_t i = pool.subset_size; i < ranked.size(); ++i) {
+        ranked[i].second->in_subset = false;
+    }
+}
+
 bool contains(const std::vector<server_id>& ids, const server_id& id) {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
@@ -49,6 +70,7 @@
         servers.push_back(std::move(view));
     }
     pool.servers = std::move(servers);
+    detail::mark_subset(pool);
 }
 
 server_index find_server(const server_pool& pool, const server_id& id) {
