Keep guaranteed shares of less than one call per entry

Cause: with 40 slots and 16 entries a guaranteed share of 10 % is a quarter of a call per entry. Rounding such windows up lets the floors fill the servers; pacing by time lost 5 to 15 % of the share. Change: a credit in call-seconds keeps the mean of calls in progress at the window; the floor counts the time in queues and network; windows follow the smoothed reported queue; standing queues end with hysteresis.

--- a/bench/micro/policy_model.cpp
+++ b/bench/micro/policy_model.cpp
@@ -145,8 +145,9 @@
     const auto index = m.calls[call].server;
     auto& server = m.servers[index];
     if (now >= server.slowness_until) { // load shifts within milliseconds
-        // Mean rate 1: a tenth of the time a server is six times as slow as in the rest.
-        server.slowness = random_unit(m.random) < 0.1 ? 5.24 : 0.917;
+        // A tenth of the time a server is six times as slow as in the rest. With these factors the pool
+        // completes one call per slot and mean service time when it is never idle.
+        server.slowness = random_unit(m.random) < 0.1 ? 4.98 : 0.871;
         server.slowness_until = now + drawn(m, 20ms);
     }
     ++server.running;
@@ -208,12 +209,17 @@
     }
 }
 
+/// Leaves out calls whose end falls after the end of the run.
+bool is_counted(time_point born) {
+    return born >= warm && born < last - 250ms;
+}
+
 void arrive(model& m, std::size_t kind, time_point now) {
     const auto& rule = m.setup.kinds[kind];
     const bool on_first = random_unit(m.random) < rule.on_one_entry;
     const auto entry = on_first ? 0 : random_below(m.random, static_cast<std::uint32_t>(m.entries.size()));
     m.calls.push_back({.kind = kind, .entry = entry, .born = now});
-    m.results[kind].offered += now >= warm ? 1 : 0;
+    m.results[kind].offered += is_counted(now) ? 1 : 0;
     const waiting_call call{m.calls.size() - 1, kind, now, now + rule.deadline, {100}};
     if (enqueue(m.entries[entry].admission, call, now) == refusal::none) {
         send_waiting(m, m.entries[entry], now);
@@ -231,7 +237,7 @@
         {.shed = call.shed, .latency = now - call.sent, .report = call.report, .server_slots = m.setup.slots},
         now);
     const bool good = !call.shed && now - call.born <= m.setup.kinds[call.kind].deadline;
-    if (good && call.born >= warm) {
+    if (good && is_counted(call.born)) {
         ++m.results[call.kind].good;
         record(m.results[call.kind].latency, now - call.born);
     }
@@ -290,6 +296,7 @@
             static_cast<double>(it.good) / static_cast<double>(std::max<std::uint64_t>(1, it.offered));
         capacity_used += good * setup.kinds[i].load;
         state.counters[name + "_good"] = good;
+        state.counters[name + "_of_capacity"] = good * setup.kinds[i].load;
         state.counters[name + "_p50_ms"] = to_milliseconds(value_at(it.latency, 0.5));
         state.counters[name + "_p99_ms"] = to_milliseconds(value_at(it.latency, 0.99));
     }
--- a/include/endivelever/decide/admission.hpp
+++ b/include/endivelever/decide/admission.hpp
@@ -38,7 +38,8 @@
     time_point last_cut{};
     duration latency_estimate{};
     double demand_fraction = 1.0;        ///< this entry's part of all entries' offered calls of this kind
-    time_point last_paced{};             ///< last call sent on the fractional part of the window
+    double window_credit = 0.0;          ///< call-seconds by which calls in progress stayed below the window
+    time_point credit_at{};              ///< when window_credit was last brought up to date
     time_point standing_since{};         ///< since when calls wait long in the queue; 0 if they do not
     time_point next_deadline{};          ///< no waiting call expires before this time
     std::vector<waiting_call> expired{}; ///< taken out of the queue too late, not yet reported as expired
--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -15,6 +15,10 @@
 constexpr duration standing_interval = 100ms;
 // Part of a call's time to its deadline that it may be expected to wait in a standing queue.
 constexpr int standing_wait_divisor = 4;
+constexpr int standing_target_divisor = 8;
+// At most this part of a call's time is set aside for its answer. A latency estimate over the deadline would
+// otherwise refuse all calls, and no call would correct it.
+constexpr int max_time_left_divisor = 4;
 
 bool is_fifo(const service_admission& admission) {
     return admission.service.admission == admission_policy::fifo;
@@ -31,14 +35,13 @@
            kind.queued_bytes.value + call.held.value <= kind.rule.queue_bytes.value;
 }
 
-/// Least time to an answer; half of the mean, since single calls take less than the mean.
-duration least_latency(const service_admission& admission) {
-    return admission.service_time / 2;
+/// Time before its deadline at which a waiting call is given up, since its answer would come too late.
+duration least_time_left(const kind_admission& kind, const waiting_call& call) {
+    return std::min(expected_latency(kind), (call.deadline - call.arrived) / max_time_left_divisor);
 }
 
-time_point expiry_of(const service_admission& admission, const kind_admission& kind,
-                     const waiting_call& call) {
-    const auto by_deadline = call.deadline - least_latency(admission);
+time_point expiry_of(const kind_admission& kind, const waiting_call& call) {
+    const auto by_deadline = call.deadline - least_time_left(kind, call);
     const auto limit = kind.rule.max_queue_delay;
     return limit > duration::zero() ? std::min(by_deadline, call.arrived + limit) : by_deadline;
 }
@@ -82,18 +85,25 @@
     kind.queued_bytes.value -= call.held.value;
 }
 
-void move_expired_heads(const service_admission& admission, kind_admission& kind, time_point now) {
-    while (!kind.queue.empty() && expiry_of(admission, kind, kind.queue.front()) <= now) {
+void move_expired_heads(kind_admission& kind, time_point now) {
+    while (!kind.queue.empty() && expiry_of(kind, kind.queue.front()) <= now) {
         kind.expired.push_back(kind.queue.front());
         kind.queue.pop_front();
     }
 }
 
+/// Longest wait that is no sign of overload.
+duration standing_target(const kind_admission& kind, const waiting_call& call) {
+    return std::min(2 * expected_latency(kind), (call.deadline - call.arrived) / standing_target_divisor);
+}
+
 void note_standing_queue(kind_admission& kind, time_point now) {
-    const bool waits = !kind.queue.empty() && now - kind.queue.front().arrived >= 2 * expected_latency(kind);
-    if (!waits) {
+    const auto waited = kind.queue.empty() ? duration::zero() : now - kind.queue.front().arrived;
+    const auto target = kind.queue.empty() ? duration::zero() : standing_target(kind, kind.queue.front());
+    // The end needs a shorter wait than the start: limits that alternate fill and empty the queue in turn.
+    if (waited <= target / 2) {
         kind.standing_since = time_point{};
-    } else if (kind.standing_since == time_point{}) {
+    } else if (waited >= target && kind.standing_since == time_point{}) {
         kind.standing_since = now;
     }
 }
@@ -106,11 +116,11 @@
     return total < std::max(1U, admission.total_slots);
 }
 
-bool may_send(const service_admission& admission, const kind_admission& kind, time_point now) {
+bool may_send(const service_admission& admission, const kind_admission& kind) {
     if (kind.queue.empty()) {
         return false;
     }
-    return is_fifo(admission) ? fifo_has_room(admission) : has_room(admission, kind, now);
+    return is_fifo(admission) ? fifo_has_room(admission) : has_room(admission, kind);
 }
 
 bool is_earlier(const service_admission& admission, const kind_admission& left, const kind_admission& right) {
@@ -163,7 +173,7 @@
         return refusal::no_preset;
     }
     auto& kind = admission.kinds[call.kind];
-    const auto expiry = detail::expiry_of(admission, kind, call);
+    const auto expiry = detail::expiry_of(kind, call);
     if (expiry <= now) {
         return refusal::deadline_too_near;
     }
@@ -183,9 +193,10 @@
 std::optional<waiting_call> take_next(service_admission& admission, time_point now) {
     kind_admission* next = nullptr;
     for (auto& it : admission.kinds) {
-        detail::move_expired_heads(admission, it, now);
+        detail::move_expired_heads(it, now);
         detail::note_standing_queue(it, now);
-        if (!detail::may_send(admission, it, now)) {
+        detail::update_credit(admission, it, now);
+        if (!detail::may_send(admission, it)) {
             continue;
         }
         if (next == nullptr || detail::is_earlier(admission, it, *next)) {
@@ -198,19 +209,19 @@
     const auto call = next->queue.front();
     next->queue.pop_front();
     detail::drop_bytes(*next, call);
-    detail::note_sent(admission, *next, now);
+    ++next->in_progress;
     return call;
 }
 
 std::vector<waiting_call> take_expired(service_admission& admission, time_point now) {
     std::vector<waiting_call> expired;
     for (auto& kind : admission.kinds) {
-        if (kind.expired.empty() && now < kind.next_deadline - detail::least_latency(admission)) {
+        if (kind.expired.empty() && now < kind.next_deadline) {
             continue;
         }
         kind.next_deadline = time_point::max();
         const auto is_waiting = [&](const waiting_call& call) {
-            const auto expiry = detail::expiry_of(admission, kind, call);
+            const auto expiry = detail::expiry_of(kind, call);
             if (expiry > now) {
                 kind.next_deadline = std::min(kind.next_deadline, expiry);
             }
@@ -236,6 +247,7 @@
 void note_finished(service_admission& admission, std::size_t kind, const admission_feedback& feedback,
                    time_point now) {
     auto& owner = admission.kinds[kind];
+    detail::update_credit(admission, owner, now);
     owner.in_progress -= owner.in_progress > 0 ? 1U : 0U;
     if (feedback.shed) {
         owner.last_cut = now;
--- a/src/decide/concurrency_limit.cpp
+++ b/src/decide/concurrency_limit.cpp
@@ -18,7 +18,11 @@
 constexpr double growth_per_latency = 0.25;
 constexpr double unused_decay_per_latency = 0.05;
 // A guaranteed share counts slots; network and queueing keep a call in progress longer than in its slot.
-constexpr double max_stretch = 4.0;
+// Some answers of a kind at its floor come after the deadline; the margin makes up for them.
+constexpr double share_margin = 1.05;
+constexpr double max_stretch = 8.0;
+// A call that does not end must not close a small window for good.
+constexpr double max_debt_latencies = 8.0;
 constexpr double window_limit_per_slot = 3.0;
 
 /// Queue per slot at which a rank stops growing. A lower rank stops earlier, so it gives way to a higher
@@ -26,9 +30,9 @@
 double queue_threshold(rank served_as) {
     switch (served_as) {
     case rank::urgent:
-        return 1.0;
+        return 1.2;
     case rank::normal:
-        return 0.6;
+        return 0.8;
     case rank::low:
         break;
     }
@@ -52,7 +56,8 @@
 }
 
 double guaranteed_window(const service_admission& admission, const kind_admission& kind) {
-    const double slots = kind.rule.guaranteed_share * admission.total_slots * kind.demand_fraction;
+    const double slots =
+        share_margin * kind.rule.guaranteed_share * admission.total_slots * kind.demand_fraction;
     return slots * stretch(admission, kind);
 }
 
@@ -60,22 +65,21 @@
     return std::max({min_window, kind.window, guaranteed_window(admission, kind)});
 }
 
-bool has_room(const service_admission& admission, const kind_admission& kind, time_point now) {
-    const double window = effective_window(admission, kind);
-    const double whole = std::floor(window);
+bool has_room(const service_admission& admission, const kind_admission& kind) {
+    const double whole = std::floor(effective_window(admission, kind));
     if (kind.in_progress < whole) {
         return true;
     }
-    const double fraction = window - whole;
-    const double waited = to_seconds(now - kind.last_paced) * fraction;
-    return kind.in_progress <= whole && fraction > 0.0 && waited >= to_seconds(expected_latency(kind));
+    // One call over the whole part of the window is sent while the mean stays within the window.
+    return kind.in_progress <= whole && kind.window_credit >= 0.0;
 }
 
-void note_sent(const service_admission& admission, kind_admission& kind, time_point now) {
-    if (kind.in_progress >= std::floor(effective_window(admission, kind))) {
-        kind.last_paced = now;
-    }
-    ++kind.in_progress;
+void update_credit(const service_admission& admission, kind_admission& kind, time_point now) {
+    const double room = effective_window(admission, kind) - kind.in_progress;
+    const double latency = to_seconds(expected_latency(kind));
+    const double credit = kind.window_credit + room * to_seconds(now - kind.credit_at);
+    kind.window_credit = std::clamp(credit, -max_debt_latencies * latency, latency);
+    kind.credit_at = now;
 }
 
 void start_windows(service_admission& admission) {
@@ -95,8 +99,8 @@
 }
 
 /// @param part  this report's part of all reports that arrive within one latency
-void adjust_window(const service_admission& admission, kind_admission& kind, double queue, double part) {
-    const double room = 1.0 - queue / queue_threshold(kind.rule.served_as);
+void adjust_window(const service_admission& admission, kind_admission& kind, double part) {
+    const double room = 1.0 - admission.smoothed_queue / queue_threshold(kind.rule.served_as);
     if (room < 0.0) {
         kind.window -= part * cut_per_latency * std::min(max_excess, -room) * kind.window;
     } else if (is_used(kind)) {
@@ -130,7 +134,7 @@
         reports_per_latency += it.in_progress;
     }
     for (auto& it : admission.kinds) {
-        adjust_window(admission, it, queue, 1.0 / reports_per_latency);
+        adjust_window(admission, it, 1.0 / reports_per_latency);
     }
 }
 
--- a/src/decide/concurrency_limit.hpp
+++ b/src/decide/concurrency_limit.hpp
@@ -11,10 +11,10 @@
 double effective_window(const service_admission& admission, const kind_admission& kind);
 
 /// True if the window lets one more call of this kind be sent now.
-bool has_room(const service_admission& admission, const kind_admission& kind, time_point now);
+bool has_room(const service_admission& admission, const kind_admission& kind);
 
-/// Counts a call as sent.
-void note_sent(const service_admission& admission, kind_admission& kind, time_point now);
+/// Brings the window's credit up to date. Call it before in_progress changes and before has_room().
+void update_credit(const service_admission& admission, kind_admission& kind, time_point now);
 
 /// Sets the windows when the number of slots becomes known.
 void start_windows(service_admission& admission);
