--- a/include/endivelever/net/http_server.hpp
+++ b/include/endivelever/net/http_server.hpp
@@ -60,9 +60,9 @@
     };
     struct options {
         std::uint32_t max_connections = 4000;
-        byte_count max_header_size{16U * 1024U};
+        byte_count max_header_size{16UL * 1024UL};
         duration idle_timeout = std::chrono::seconds(60);
-        byte_count response_buffer{256U * 1024U}; ///< soft limit of a streamed response held in memory
+        byte_count response_buffer{256UL * 1024UL}; ///< soft limit of a streamed response held in memory
     };
 
     /// @return the server, or error [net.N] if the address cannot be bound
--- /dev/null
+++ b/src/net/deferred_call.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <ev.h>
+#include <functional>
+
+namespace endivelever::detail {
+
+/// Runs a function once after the callbacks of the current loop iteration, without a further wait.
+/// The lower priority collects the work of all sockets that are ready at the same time.
+class deferred_call {
+  public:
+    deferred_call(struct ev_loop* loop, std::function<void()> callback)
+        : m_loop(loop), m_callback(std::move(callback)) {
+        ev_init(&m_watcher, &deferred_call::run);
+        ev_set_priority(&m_watcher, -1);
+        m_watcher.data = this;
+    }
+    ~deferred_call() { ev_clear_pending(m_loop, &m_watcher); }
+    deferred_call(const deferred_call&) = delete;
+    deferred_call& operator=(const deferred_call&) = delete;
+    deferred_call(deferred_call&&) = delete;
+    deferred_call& operator=(deferred_call&&) = delete;
+
+    void request() { ev_feed_event(m_loop, &m_watcher, EV_CUSTOM); }
+
+  private:
+    static void run(struct ev_loop* /*loop*/, ev_prepare* watcher, int /*revents*/) {
+        static_cast<deferred_call*>(watcher->data)->m_callback();
+    }
+
+    struct ev_loop* m_loop;
+    ev_prepare m_watcher{};
+    std::function<void()> m_callback;
+};
+
+} // namespace endivelever::detail
--- /dev/null
+++ b/src/net/http_exchange.cpp
@@ -0,0 +1,275 @@
+#include "http_exchange.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <strings.h>
+#include <sys/socket.h>
+
+namespace endivelever::detail {
+namespace {
+
+/// Request body that is read and dropped after the response is known. Above this the response is sent at
+/// once and the connection closed, since a caller that is still sending would lose the response to a reset.
+constexpr std::uint64_t max_discarded_bytes = 4U << 20U;
+constexpr std::size_t reader_block_size = 32UL * 1024UL;
+constexpr unsigned status_header_too_large = 431;
+
+bool same_name(std::string_view left, std::string_view right) {
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+/// Headers that libmicrohttpd writes itself.
+bool is_framing(std::string_view name) {
+    return same_name(name, "Content-Length") || same_name(name, "Transfer-Encoding") ||
+           same_name(name, "Connection");
+}
+
+/// Resets the connection. A plain close would end a body without length as if it were complete.
+void reset_connection(int fd) {
+    sockaddr unspecified{};
+    unspecified.sa_family = AF_UNSPEC;
+    if (connect(fd, &unspecified, sizeof unspecified) != 0) {
+        shutdown(fd, SHUT_RDWR);
+    }
+}
+
+} // namespace
+
+exchange_state::exchange_state(server_core& core, connection_context& connection, const char* method)
+    : m_core(core), m_connection(connection), m_method(method), m_target(std::move(connection.target)) {}
+
+exchange_state::~exchange_state() {
+    if (m_response != nullptr) {
+        MHD_destroy_response(m_response);
+    }
+}
+
+void exchange_state::copy_headers() {
+    const auto add = [](void* cls, MHD_ValueKind /*kind*/, const char* key, size_t key_size,
+                        const char* value, size_t value_size) -> MHD_Result {
+        auto& target = *static_cast<http_headers*>(cls);
+        target.push_back(
+            {std::string(key, key_size), std::string(value == nullptr ? "" : value, value_size)});
+        return MHD_YES;
+    };
+    m_headers.reserve(8);
+    MHD_get_connection_values_n(m_connection.handle, MHD_HEADER_KIND, add, &m_headers);
+}
+
+void exchange_state::find_length() {
+    if (find_header(m_headers, "Transfer-Encoding") != nullptr) {
+        m_length.reset();
+        return;
+    }
+    if (const auto* text = find_header(m_headers, "Content-Length")) {
+        std::uint64_t value = 0;
+        std::from_chars(text->data(), text->data() + text->size(), value);
+        m_length = value;
+    }
+}
+
+MHD_Result exchange_state::handle(const char* data, std::size_t* size) {
+    if (m_aborted) {
+        return MHD_NO;
+    }
+    if (!m_started) {
+        return handle_head();
+    }
+    return *size > 0 ? handle_body(data, size) : handle_end();
+}
+
+MHD_Result exchange_state::handle_head() {
+    m_started = true;
+    copy_headers();
+    find_length();
+    std::size_t header_size = m_target.size();
+    for (const auto& it : m_headers) {
+        header_size += it.name.size() + it.value.size();
+    }
+    if (header_size > m_core.opts.max_header_size.value) {
+        respond(status_header_too_large, {}, "request header is too large\n");
+    } else {
+        m_core.callbacks.on_head(*this);
+    }
+    if (m_aborted) {
+        return MHD_NO;
+    }
+    if (m_response != nullptr && may_answer_early()) {
+        return queue_response();
+    }
+    return m_paused && m_response == nullptr ? suspend() : MHD_YES;
+}
+
+bool exchange_state::may_answer_early() const {
+    const bool too_much = m_length.has_value() && *m_length > max_discarded_bytes;
+    return too_much || find_header(m_headers, "Expect") != nullptr;
+}
+
+MHD_Result exchange_state::handle_body(const char* data, std::size_t* size) {
+    if (m_response != nullptr) {
+        m_discarded += *size;
+        *size = 0;
+        return m_discarded > max_discarded_bytes ? MHD_NO : MHD_YES;
+    }
+    const std::string_view part(data, *size);
+    *size = 0;
+    if (m_core.callbacks.on_body) {
+        m_core.callbacks.on_body(*this, part);
+    }
+    if (m_aborted) {
+        return MHD_NO;
+    }
+    return m_paused && m_response == nullptr ? suspend() : MHD_YES;
+}
+
+MHD_Result exchange_state::handle_end() {
+    if (!m_body_ended) {
+        m_body_ended = true;
+        if (m_response == nullptr && m_core.callbacks.on_body_end) {
+            m_core.callbacks.on_body_end(*this);
+        }
+    }
+    if (m_aborted) {
+        return MHD_NO;
+    }
+    return m_response != nullptr ? queue_response() : suspend();
+}
+
+MHD_Result exchange_state::queue_response() {
+    if (m_queued) {
+        return MHD_YES;
+    }
+    m_queued = true;
+    const auto queued = MHD_queue_response(m_connection.handle, m_status, m_response);
+    return queued;
+}
+
+MHD_Result exchange_state::suspend() {
+    if (m_connection.peer_closed) {
+        m_aborted = true;
+        return MHD_NO;
+    }
+    m_suspended = true;
+    MHD_suspend_connection(m_connection.handle);
+    return MHD_YES;
+}
+
+void exchange_state::wake() {
+    if (m_suspended) {
+        m_suspended = false;
+        MHD_resume_connection(m_connection.handle);
+        m_core.request_run();
+    }
+}
+
+void exchange_state::note_peer_closed() {
+    if (m_suspended) {
+        m_aborted = true;
+        wake();
+    }
+}
+
+void exchange_state::resume_body() {
+    m_paused = false;
+    if (!m_body_ended) {
+        wake();
+    }
+}
+
+void exchange_state::set_response(unsigned status, const http_headers& headers, MHD_Response* response) {
+    m_status = status;
+    m_response = response;
+    for (const auto& it : headers) {
+        if (!is_framing(it.name)) {
+            MHD_add_response_header(response, it.name.c_str(), it.value.c_str());
+        }
+    }
+    if (m_core.stopping) {
+        MHD_add_response_header(response, "Connection", "close");
+    }
+}
+
+void exchange_state::respond(unsigned status, const http_headers& headers, std::string body) {
+    if (m_response != nullptr || m_aborted) {
+        return;
+    }
+    m_out = std::move(body);
+    m_finished = true;
+    auto* response = MHD_create_response_from_buffer(m_out.size(), m_out.data(), MHD_RESPMEM_PERSISTENT);
+    set_response(status, headers, response);
+    wake();
+}
+
+void exchange_state::begin_response(unsigned status, const http_headers& headers,
+                                    std::optional<std::uint64_t> length) {
+    if (m_response != nullptr || m_aborted) {
+        return;
+    }
+    m_out_length = length;
+    auto* response = MHD_create_response_from_callback(length.value_or(MHD_SIZE_UNKNOWN), reader_block_size,
+                                                       &exchange_state::read_body, this, nullptr);
+    set_response(status, headers, response);
+    wake();
+}
+
+void exchange_state::write(std::string_view data) {
+    if (m_out_begin == m_out.size()) {
+        m_out.clear();
+        m_out_begin = 0;
+    } else if (m_out_begin > m_out.size() / 2) {
+        m_out.erase(0, m_out_begin);
+        m_out_begin = 0;
+    }
+    m_out.append(data);
+    m_out_total += data.size();
+    m_full = writable_bytes() == 0;
+    wake();
+}
+
+std::size_t exchange_state::writable_bytes() const {
+    const auto held = m_out.size() - m_out_begin;
+    const auto limit = static_cast<std::size_t>(m_core.opts.response_buffer.value);
+    return held >= limit ? 0 : limit - held;
+}
+
+void exchange_state::finish() {
+    m_finished = true;
+    wake();
+}
+
+void exchange_state::abort() {
+    m_aborted = true;
+    reset_connection(m_connection.fd);
+    wake();
+}
+
+ssize_t exchange_state::read_body(void* cls, std::uint64_t /*pos*/, char* buf, std::size_t max) {
+    return static_cast<exchange_state*>(cls)->read_body(buf, max);
+}
+
+ssize_t exchange_state::read_body(char* buf, std::size_t max) {
+    if (m_aborted) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    const auto held = m_out.size() - m_out_begin;
+    if (held == 0) {
+        if (m_finished) {
+            const bool whole = !m_out_length || *m_out_length == m_out_total;
+            return whole ? MHD_CONTENT_READER_END_OF_STREAM : MHD_CONTENT_READER_END_WITH_ERROR;
+        }
+        return suspend() == MHD_YES ? 0 : static_cast<ssize_t>(MHD_CONTENT_READER_END_WITH_ERROR);
+    }
+    const auto n = std::min(held, max);
+    std::memcpy(buf, m_out.data() + m_out_begin, n);
+    m_out_begin += n;
+    if (m_full && held - n <= m_core.opts.response_buffer.value / 2) {
+        m_full = false;
+        if (m_core.callbacks.on_writable) {
+            m_core.callbacks.on_writable(*this);
+        }
+    }
+    return static_cast<ssize_t>(n);
+}
+
+} // namespace endivelever::detail
--- /dev/null
+++ b/src/net/http_exchange.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "endivelever/net/http_server.hpp"
+
+#include <microhttpd.h>
+
+#include <functional>
+#include <string>
+#include <unordered_set>
+
+namespace endivelever::detail {
+
+struct server_core;
+
+/// What is known of one caller connection.
+struct connection_context {
+    int fd = -1;
+    MHD_Connection* handle = nullptr;
+    std::string target;                   ///< raw target of the request line that arrived last
+    class exchange_state* open = nullptr; ///< request in progress
+    bool peer_closed = false;
+};
+
+/// One request as libmicrohttpd runs it. The connection is suspended while it waits for the user.
+class exchange_state final : public http_exchange {
+  public:
+    exchange_state(server_core& core, connection_context& connection, const char* method);
+    ~exchange_state() override;
+    exchange_state(const exchange_state&) = delete;
+    exchange_state& operator=(const exchange_state&) = delete;
+    exchange_state(exchange_state&&) = delete;
+    exchange_state& operator=(exchange_state&&) = delete;
+
+    [[nodiscard]] const std::string& method() const override { return m_method; }
+    [[nodiscard]] const std::string& target() const override { return m_target; }
+    [[nodiscard]] std::string path() const override { return m_target.substr(0, m_target.find('?')); }
+    [[nodiscard]] const http_headers& headers() const override { return m_headers; }
+    [[nodiscard]] std::optional<std::uint64_t> content_length() const override { return m_length; }
+    void pause_body() override { m_paused = true; }
+    void resume_body() override;
+    void respond(unsigned status, const http_headers& headers, std::string body) override;
+    void begin_response(unsigned status, const http_headers& headers,
+                        std::optional<std::uint64_t> length) override;
+    void write(std::string_view data) override;
+    [[nodiscard]] std::size_t writable_bytes() const override;
+    void finish() override;
+    void abort() override;
+
+    /// Request handler of libmicrohttpd for this request.
+    MHD_Result handle(const char* data, std::size_t* size);
+    /// Continues a suspended connection so that it notices a new state.
+    void wake();
+    /// The caller closed its side.
+    void note_peer_closed();
+    [[nodiscard]] bool aborted() const { return m_aborted; }
+
+  private:
+    MHD_Result handle_head();
+    MHD_Result handle_body(const char* data, std::size_t* size);
+    MHD_Result handle_end();
+    MHD_Result queue_response();
+    MHD_Result suspend();
+    [[nodiscard]] bool may_answer_early() const;
+    void set_response(unsigned status, const http_headers& headers, MHD_Response* response);
+    static ssize_t read_body(void* cls, std::uint64_t pos, char* buf, std::size_t max);
+    ssize_t read_body(char* buf, std::size_t max);
+    void copy_headers();
+    void find_length();
+
+    server_core& m_core;
+    connection_context& m_connection;
+    std::string m_method;
+    std::string m_target;
+    http_headers m_headers;
+    std::optional<std::uint64_t> m_length = 0;
+    MHD_Response* m_response = nullptr;
+    unsigned m_status = 0;
+    std::string m_out;
+    std::size_t m_out_begin = 0;
+    std::optional<std::uint64_t> m_out_length;
+    std::uint64_t m_out_total = 0;
+    std::uint64_t m_discarded = 0;
+    bool m_started = false;
+    bool m_body_ended = false;
+    bool m_paused = false;
+    bool m_suspended = false;
+    bool m_queued = false;
+    bool m_full = false;
+    bool m_finished = false;
+    bool m_aborted = false;
+};
+
+/// Shared by the server and its exchanges.
+struct server_core {
+    http_server::handlers callbacks;
+    http_server::options opts;
+    bool stopping = false;
+    bool closing = false; ///< the server is being destroyed; no callbacks
+    std::unordered_set<connection_context*> connections;
+    std::function<void()> request_run;
+};
+
+} // namespace endivelever::detail
--- /dev/null
+++ b/src/net/http_transfer.cpp
@@ -0,0 +1,244 @@
+#include "http_transfer.hpp"
+
+#include "http_client_core.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <strings.h>
+
+namespace endivelever::detail {
+namespace {
+
+constexpr unsigned first_final_status = 200;
+constexpr unsigned status_no_content = 204;
+constexpr unsigned status_not_modified = 304;
+
+transfer_state& transfer_of(void* data) {
+    return *static_cast<transfer_state*>(data);
+}
+
+std::string_view trimmed(std::string_view text) {
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == '\r' || text.back() == '\n' || text.back() == ' ')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+bool has_framed_body(const transfer_state& it) {
+    const auto status = it.result.status;
+    return it.request.method == "HEAD" || status == status_no_content || status == status_not_modified ||
+           find_header(it.response_headers, "Content-Length") != nullptr ||
+           find_header(it.response_headers, "Transfer-Encoding") != nullptr;
+}
+
+/// @return false to end the transfer
+bool finish_head(transfer_state& it) {
+    if (it.result.status < first_final_status) {
+        it.response_headers.clear();
+        return true;
+    }
+    it.head_done = true;
+    it.unframed_body = !has_framed_body(it);
+    if (it.unframed_body) {
+        return false;
+    }
+    if (it.handlers.on_head) {
+        it.handlers.on_head(it.result.status, it.response_headers);
+    }
+    return !it.cancelled;
+}
+
+size_t on_header(char* buf, size_t size, size_t count, void* data) {
+    auto& it = transfer_of(data);
+    const std::string_view line(buf, size * count);
+    it.last_progress = boot_clock::now();
+    if (it.head_done) {
+        return line.size(); // trailers
+    }
+    const auto text = trimmed(line);
+    if (text.empty()) {
+        return finish_head(it) ? line.size() : 0;
+    }
+    if (text.starts_with("HTTP/")) {
+        it.response_headers.clear();
+        const auto space = std::min(text.find(' '), text.size() - 1);
+        std::from_chars(text.data() + space + 1, text.data() + text.size(), it.result.status);
+        return line.size();
+    }
+    const auto colon = text.find(':');
+    if (colon != std::string_view::npos) {
+        it.response_headers.push_back(
+            {std::string(text.substr(0, colon)), std::string(trimmed(text.substr(colon + 1)))});
+    }
+    return line.size();
+}
+
+size_t on_body(char* buf, size_t size, size_t count, void* data) {
+    auto& it = transfer_of(data);
+    const std::string_view part(buf, size * count);
+    if (it.cancelled) {
+        return 0;
+    }
+    it.last_progress = boot_clock::now();
+    if (it.handlers.on_body && !it.handlers.on_body(part)) {
+        it.paused = true;
+        return it.cancelled ? 0 : CURL_WRITEFUNC_PAUSE;
+    }
+    return it.cancelled ? 0 : part.size();
+}
+
+size_t on_read(char* buf, size_t size, size_t count, void* data) {
+    auto& it = transfer_of(data);
+    if (it.cancelled) {
+        return CURL_READFUNC_ABORT;
+    }
+    it.last_progress = boot_clock::now();
+    std::size_t n = 0;
+    const auto state = it.handlers.on_read(buf, size * count, n);
+    if (it.cancelled || state == read_state::abort) {
+        return CURL_READFUNC_ABORT;
+    }
+    if (state == read_state::pause) {
+        it.paused = true;
+        return CURL_READFUNC_PAUSE;
+    }
+    return state == read_state::end ? 0 : n;
+}
+
+/// Called before each send of the request, also when libcurl repeats it after a reused connection failed.
+int on_before_send(void* data, char* /*remote*/, char* /*local*/, int /*remote_port*/, int /*local_port*/) {
+    auto& it = transfer_of(data);
+    if (it.cancelled) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    if (it.result.sent) {
+        it.result.failure = transfer_failure::second_send;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    it.result.sent = true;
+    it.last_progress = boot_clock::now();
+    curl_easy_getinfo(it.easy, CURLINFO_ACTIVESOCKET, &it.fd);
+    it.core->mark_socket(it.fd, true);
+    return CURL_PREREQFUNC_OK;
+}
+
+bool has_header(const http_headers& headers, std::string_view name) {
+    return find_header(headers, name) != nullptr;
+}
+
+void add_line(transfer_state& it, const char* line) {
+    it.header_list = curl_slist_append(it.header_list, line);
+}
+
+void set_headers(transfer_state& it) {
+    std::string line;
+    for (const auto& header : it.request.headers) {
+        line = header.name;
+        line += header.value.empty() ? ";" : ": ";
+        line += header.value;
+        add_line(it, line.c_str());
+    }
+    // A header name without value removes what libcurl would add on its own.
+    if (!has_header(it.request.headers, "Accept")) {
+        add_line(it, "Accept:");
+    }
+    if (it.request.has_body) {
+        add_line(it, "Expect:");
+        if (!has_header(it.request.headers, "Content-Type")) {
+            add_line(it, "Content-Type:");
+        }
+    }
+    curl_easy_setopt(it.easy, CURLOPT_HTTPHEADER, it.header_list);
+}
+
+void set_body(transfer_state& it) {
+    auto* easy = it.easy;
+    if (!it.request.has_body) {
+        curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+        if (it.request.method == "HEAD") {
+            curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        }
+        return;
+    }
+    if (it.handlers.on_read) {
+        curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
+        const auto length = it.request.content_length;
+        curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE, length ? static_cast<curl_off_t>(*length) : -1);
+        curl_easy_setopt(easy, CURLOPT_READFUNCTION, &on_read);
+        curl_easy_setopt(easy, CURLOPT_READDATA, &it);
+        return;
+    }
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(it.request.body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, it.request.body.data());
+}
+
+long whole_milliseconds(duration value) {
+    return std::max(1L, static_cast<long>(std::chrono::ceil<std::chrono::milliseconds>(value).count()));
+}
+
+} // namespace
+
+void prepare_handle(transfer_state& it) {
+    auto* easy = it.easy;
+    const auto url = "http://" + it.request.address.text + "/";
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &it);
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, it.request.target.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, whole_milliseconds(it.request.timeout));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, whole_milliseconds(it.request.connect_timeout));
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &it);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &on_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &it);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &on_before_send);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &it);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &client_core::open_socket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &it);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &client_core::close_socket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, it.core);
+    set_body(it);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, it.request.method.c_str());
+    set_headers(it);
+}
+
+void conclude(transfer_state& it, CURLcode code) {
+    auto& end = it.result;
+    long connects = 0;
+    curl_easy_getinfo(it.easy, CURLINFO_NUM_CONNECTS, &connects);
+    end.new_connection = connects > 0;
+    if (it.stalled) {
+        end.failure = transfer_failure::timeout;
+        end.detail = "no progress";
+        return;
+    }
+    if (code == CURLE_OK) {
+        end.failure = transfer_failure::none;
+        return;
+    }
+    end.detail = curl_easy_strerror(code);
+    if (it.unframed_body) {
+        end.failure = transfer_failure::broken;
+        end.detail = "response has neither length nor chunked encoding";
+    } else if (end.failure == transfer_failure::second_send) {
+        return;
+    } else if (code == CURLE_OPERATION_TIMEDOUT) {
+        end.failure = transfer_failure::timeout;
+    } else if (!end.sent && (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)) {
+        end.failure = transfer_failure::connect;
+    } else if (code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR || code == CURLE_PARTIAL_FILE ||
+               code == CURLE_GOT_NOTHING) {
+        end.failure = transfer_failure::broken;
+    } else {
+        end.failure = transfer_failure::other;
+    }
+}
+
+} // namespace endivelever::detail
