--- a/bench/testbed/fake_server.cpp
+++ b/bench/testbed/fake_server.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::uint64_t default_body_size = 128;
-constexpr std::size_t stream_block = 64U * 1024U;
+constexpr std::size_t stream_block = 1U << 16U;
 constexpr const char* load_path = "/.well-known/load";
 
 std::optional<time_point> deadline_of(const http_exchange& exchange, time_point now) {
@@ -54,7 +54,7 @@
 
 http_server::handlers fake_server::handlers_for(server_listener& listener) {
     auto* it = &listener;
-    return {.on_head = [this](http_exchange& exchange) { on_head(exchange); },
+    return {.on_head = [this, it](http_exchange& exchange) { on_head(exchange, *it); },
             .on_body = [](http_exchange&, std::string_view) {},
             .on_body_end =
                 [this, it](http_exchange& exchange) {
@@ -91,8 +91,9 @@
     return m_listeners.empty() ? listen() : result<void>{};
 }
 
-void fake_server::on_head(http_exchange& exchange) {
+void fake_server::on_head(http_exchange& exchange, const server_listener& listener) {
     open_call call;
+    call.listener = &listener;
     call.number = ++m_last_number;
     call.pattern = pattern_of(exchange.target());
     call.body_size = query_number(exchange.target(), "size", default_body_size);
@@ -113,6 +114,15 @@
     apply(submit(m_model, call, now, m_farm.random));
 }
 
+/// @return the exchange of a call, or nullptr if its connection is closed or silent
+http_exchange* fake_server::answerable(std::uint64_t number) {
+    const auto found = m_exchanges.find(number);
+    if (found == m_exchanges.end() || m_calls[found->second].listener->silent) {
+        return nullptr;
+    }
+    return found->second;
+}
+
 void fake_server::apply(const call_step& step) {
     if (step.effect == arrival::started) {
         start_run(step);
@@ -122,14 +132,13 @@
         return;
     }
     m_ledger_keys.erase(step.number);
-    const auto found = m_exchanges.find(step.number);
-    if (found == m_exchanges.end()) {
+    auto* exchange = answerable(step.number);
+    if (exchange == nullptr) {
         return;
     }
-    auto& exchange = *found->second;
     const bool failed = step.effect == arrival::failed;
     const unsigned refusal = step.effect == arrival::expired ? 504 : 503;
-    exchange.respond(failed ? m_model.behaviour.fail_status : refusal, headers(failed), "not served\n");
+    exchange->respond(failed ? m_model.behaviour.fail_status : refusal, headers(failed), "not served\n");
 }
 
 void fake_server::start_run(const call_step& step) {
@@ -143,9 +152,8 @@
 
 void fake_server::end_run(std::uint64_t number) {
     const auto next = finish(m_model, number, boot_clock::now(), m_farm.random);
-    const auto found = m_exchanges.find(number);
-    if (found != m_exchanges.end()) {
-        respond_body(*found->second);
+    if (auto* exchange = answerable(number)) {
+        respond_body(*exchange);
     }
     for (const auto& it : next) {
         apply(it);
--- a/bench/testbed/fake_server.hpp
+++ b/bench/testbed/fake_server.hpp
@@ -31,6 +31,7 @@
 /// One request in progress.
 struct open_call {
     std::uint64_t number = 0;
+    const server_listener* listener = nullptr;
     std::string ledger_key;
     body_pattern pattern;
     std::uint64_t body_size = 0;
@@ -53,7 +54,8 @@
     fake_server(server_farm& farm, const fake_server_spec& spec);
     result<void> listen();
     http_server::handlers handlers_for(server_listener& listener);
-    void on_head(http_exchange& exchange);
+    void on_head(http_exchange& exchange, const server_listener& listener);
+    http_exchange* answerable(std::uint64_t number);
     void on_request(http_exchange& exchange);
     void on_closed(http_exchange& exchange);
     void apply(const call_step& step);
