Add parsing of settings, presets, VM lists and stored records

Cause: all processes start from settings and exchange JSON documents; a fault in one must be found before it is applied and must be named so that an operator can correct it. Change: a reader of JSON with comments that names source, line or JSON pointer, value and allowed values, and refuses unknown and duplicate keys; secrets are never shown. Cross checks of settings, check_preset() for a preset against the settings, to_json() for every document, settings included. The VM list alone may hold unknown keys, because the platform may add some at any time.

--- a/include/endivelever/config/settings.hpp
+++ b/include/endivelever/config/settings.hpp
@@ -88,6 +88,9 @@
 /// Reads and parses a settings file; errors as parse_settings(), or the file cannot be read.
 result<settings> load_settings(const std::string& path);
 
+/// @return JSON text that parse_settings() reads back to an equal value; it contains the keys
+std::string to_json(const settings& value);
+
 /// Splits an address into host and port.
 /// @return host without brackets and port 0 to 65535, or error [config.N]
 struct host_and_port {
