Add probes within a budget and forget old overload signals

Change: next_probe() names the server to probe; the highest rank of a service uses the highest queue threshold; windows start afresh after 50 ms without calls in progress.

--- a/include/endivelever/decide/admission.hpp
+++ b/include/endivelever/decide/admission.hpp
@@ -54,6 +54,7 @@
     std::uint32_t live_entries = 1;
     double smoothed_queue = 0.0; ///< waiting calls per slot as servers report them
     duration service_time{};     ///< smoothed time in a slot as servers report it
+    time_point reported_at{};    ///< last report or shed
 };
 
 /// Applies a preset. Calls that already wait keep their place.
--- a/include/endivelever/decide/observe.hpp
+++ b/include/endivelever/decide/observe.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "endivelever/base/random.hpp"
 #include "endivelever/decide/server_view.hpp"
 
 #include <optional>
@@ -27,6 +28,13 @@
 /// Notes a load report from a probe.
 void note_report(server_view& view, const load_report& report, time_point now);
 
+/// Names the next server to probe for a load report, ejected servers first, then the oldest report. Servers
+/// whose responses carry reports often enough are not probed. Call it again until it returns nothing.
+/// @param probes_per_server_per_second  budget of all entries together; each entry uses its part
+/// @return the server, counted as probed now, or nothing if no probe is due
+std::optional<server_index> next_probe(server_pool& pool, double probes_per_server_per_second, time_point now,
+                                       random_source& random);
+
 /// Ejects stragglers by the age of their calls, ends ejections and warm-ups. Call every few milliseconds.
 void review_servers(server_pool& pool, time_point now);
 
--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -191,6 +191,7 @@
 }
 
 std::optional<waiting_call> take_next(service_admission& admission, time_point now) {
+    detail::forget_old_signals(admission, now);
     kind_admission* next = nullptr;
     for (auto& it : admission.kinds) {
         detail::move_expired_heads(it, now);
@@ -259,7 +260,7 @@
                   : owner.latency_estimate +
                         duration(static_cast<duration::rep>(change * detail::latency_smoothing));
     }
-    detail::adjust_windows(admission, feedback);
+    detail::adjust_windows(admission, feedback, now);
 }
 
 } // namespace endivelever
--- a/src/decide/concurrency_limit.cpp
+++ b/src/decide/concurrency_limit.cpp
@@ -23,20 +23,26 @@
 constexpr double max_stretch = 8.0;
 // A call that does not end must not close a small window for good.
 constexpr double max_debt_latencies = 8.0;
+// Without calls in progress nothing tells that an overload has ended; after this time it is forgotten.
+constexpr duration signal_memory = 50ms;
 constexpr double window_limit_per_slot = 3.0;
 
+bool is_highest(const service_admission& admission, rank served_as) {
+    return std::none_of(admission.kinds.begin(), admission.kinds.end(),
+                        [served_as](const kind_admission& it) { return it.rule.served_as < served_as; });
+}
+
 /// Queue per slot at which a rank stops growing. A lower rank stops earlier, so it gives way to a higher
-/// rank on another entry as soon as that one's calls lengthen the servers' queues.
-double queue_threshold(rank served_as) {
-    switch (served_as) {
-    case rank::urgent:
-        return 1.2;
-    case rank::normal:
-        return 0.8;
-    case rank::low:
-        break;
+/// rank on another entry as soon as that one's calls lengthen the servers' queues. The highest rank of a
+/// service has no one to give way to and may keep all slots busy.
+double queue_threshold(const service_admission& admission, rank served_as) {
+    constexpr double urgent = 1.2;
+    constexpr double normal = 0.8;
+    constexpr double low = 0.3;
+    if (served_as == rank::urgent || is_highest(admission, served_as)) {
+        return urgent;
     }
-    return 0.3;
+    return served_as == rank::normal ? normal : low;
 }
 
 duration expected_latency(const kind_admission& kind) {
@@ -94,13 +100,14 @@
 
 double grown(const service_admission& admission, const kind_admission& kind, double room) {
     const double additive = std::max(0.5, 0.5 * slots_per_entry(admission));
-    const bool idle_servers = admission.smoothed_queue < 0.25 * queue_threshold(kind.rule.served_as);
+    const bool idle_servers =
+        admission.smoothed_queue < 0.25 * queue_threshold(admission, kind.rule.served_as);
     return room * (additive + (idle_servers ? growth_per_latency * kind.window : 0.0));
 }
 
 /// @param part  this report's part of all reports that arrive within one latency
 void adjust_window(const service_admission& admission, kind_admission& kind, double part) {
-    const double room = 1.0 - admission.smoothed_queue / queue_threshold(kind.rule.served_as);
+    const double room = 1.0 - admission.smoothed_queue / queue_threshold(admission, kind.rule.served_as);
     if (room < 0.0) {
         kind.window -= part * cut_per_latency * std::min(max_excess, -room) * kind.window;
     } else if (is_used(kind)) {
@@ -112,30 +119,54 @@
     kind.window = std::clamp(kind.window, min_window, limit);
 }
 
-void adjust_windows(service_admission& admission, const admission_feedback& feedback) {
-    if (!feedback.shed && !feedback.report) {
-        return;
+double reported_queue(const admission_feedback& feedback) {
+    if (feedback.shed) {
+        return 1.0 + max_excess;
     }
-    double queue = feedback.report
-                       ? static_cast<double>(feedback.report->queued) / std::max(1U, feedback.server_slots)
-                       : 0.0;
-    queue = feedback.shed ? std::max(queue, 1.0 + max_excess) : queue;
-    admission.smoothed_queue += (queue - admission.smoothed_queue) * queue_smoothing;
-    if (feedback.report && feedback.report->service_time > duration::zero()) {
-        const auto sample = feedback.report->service_time;
-        const double change =
-            static_cast<double>((sample - admission.service_time).count()) * service_smoothing;
-        const bool first = admission.service_time == duration::zero();
-        admission.service_time =
-            first ? sample : admission.service_time + duration(static_cast<duration::rep>(change));
+    return feedback.report
+               ? static_cast<double>(feedback.report->queued) / std::max(1U, feedback.server_slots)
+               : 0.0;
+}
+
+void note_service_time(service_admission& admission, duration sample) {
+    if (admission.service_time == duration::zero()) {
+        admission.service_time = sample;
+        return;
     }
-    double reports_per_latency = 1.0;
+    const double change = static_cast<double>((sample - admission.service_time).count());
+    admission.service_time += duration(static_cast<duration::rep>(change * service_smoothing));
+}
+
+double calls_in_progress(const service_admission& admission) {
+    double sum = 0.0;
     for (const auto& it : admission.kinds) {
-        reports_per_latency += it.in_progress;
+        sum += it.in_progress;
     }
+    return sum;
+}
+
+void adjust_windows(service_admission& admission, const admission_feedback& feedback, time_point now) {
+    if (feedback.failed && !feedback.shed && !feedback.report) {
+        return;
+    }
+    admission.reported_at = now;
+    admission.smoothed_queue += (reported_queue(feedback) - admission.smoothed_queue) * queue_smoothing;
+    if (feedback.report && feedback.report->service_time > duration::zero()) {
+        note_service_time(admission, feedback.report->service_time);
+    }
+    const double part = 1.0 / (1.0 + calls_in_progress(admission));
     for (auto& it : admission.kinds) {
-        adjust_window(admission, it, 1.0 / reports_per_latency);
+        adjust_window(admission, it, part);
+    }
+}
+
+void forget_old_signals(service_admission& admission, time_point now) {
+    if (now - admission.reported_at < signal_memory || calls_in_progress(admission) > 0.0) {
+        return;
     }
+    admission.smoothed_queue = 0.0;
+    admission.reported_at = now;
+    start_windows(admission);
 }
 
 } // namespace endivelever::detail
--- a/src/decide/concurrency_limit.hpp
+++ b/src/decide/concurrency_limit.hpp
@@ -20,6 +20,9 @@
 void start_windows(service_admission& admission);
 
 /// Adjusts all windows of the service to what an ended call tells about the servers' queues.
-void adjust_windows(service_admission& admission, const admission_feedback& feedback);
+void adjust_windows(service_admission& admission, const admission_feedback& feedback, time_point now);
+
+/// Starts afresh when no call has been in progress for some time.
+void forget_old_signals(service_admission& admission, time_point now);
 
 } // namespace endivelever::detail
