Add replicated documents, membership, currency and address answers

Cause: controls have to agree on the highest version of each document, on who is there and on whether the preset is still current, without a consensus group. Change: decide/document_table, membership, currency and address_answer. A process restarted with the life it had is answered with the known record, as one with a lower life is; leaving members stay in the watcher election; a round of documents is limited in bytes, the preset in force first. Conclusion: the control process can be built on these functions.

--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -10,3 +10,5 @@
 add_library(easyloggingpp STATIC /usr/include/easylogging++.cc)
 target_compile_definitions(easyloggingpp PUBLIC ELPP_NO_DEFAULT_LOG_FILE ELPP_CUSTOM_COUT=std::cerr ELPP_DISABLE_DEFAULT_CRASH_HANDLING)
 target_compile_options(easyloggingpp PRIVATE -w)
+# Its storage is defined in the base module, so the linker has to look there again.
+target_link_libraries(easyloggingpp INTERFACE endivelever_base)
--- a/include/endivelever/decide/currency.hpp
+++ b/include/endivelever/decide/currency.hpp
@@ -1,13 +1,11 @@
 #pragma once
 
+#include "endivelever/base/ids.hpp"
 #include "endivelever/base/time.hpp"
 
-#include <cstdint>
 #include <map>
 #include <vector>
 
-#include "endivelever/base/ids.hpp"
-
 namespace endivelever {
 
 /// Longest time without proof that the preset is current. Leaves 2 s of the 6 s limit for spreading.
@@ -19,6 +17,12 @@
     std::map<vm_id, time_point> heartbeats; ///< last heartbeat received from each member
 };
 
+/// @param listed  live entry VMs of the last VM list
+/// @return the latest time by which a majority of `listed` had been heard of, this VM counted if it is
+///         listed; the default time if there was none
+time_point majority_contact(const currency_state& state, const vm_id& self, const std::vector<vm_id>& listed,
+                            time_point now);
+
 /// @param listed  live entry VMs of the last VM list, this VM included
 /// @return how long an entry may still treat the preset as current; zero if not at all
 duration remaining_currency(const currency_state& state, const vm_id& self, const std::vector<vm_id>& listed,
--- /dev/null
+++ b/src/decide/currency.cpp
@@ -0,0 +1,46 @@
+#include "endivelever/decide/currency.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace endivelever {
+namespace detail {
+
+// Heartbeats of listed VMs, latest first. This VM is always in contact with itself.
+std::vector<time_point> listed_contacts(const currency_state& state, const vm_id& self,
+                                        const std::vector<vm_id>& listed, time_point now) {
+    std::vector<time_point> contacts;
+    for (const auto& vm : listed) {
+        if (vm == self) {
+            contacts.push_back(now);
+            continue;
+        }
+        const auto it = state.heartbeats.find(vm);
+        if (it != state.heartbeats.end()) {
+            contacts.push_back(std::min(it->second, now));
+        }
+    }
+    std::sort(contacts.begin(), contacts.end(), std::greater<>());
+    return contacts;
+}
+
+} // namespace detail
+
+time_point majority_contact(const currency_state& state, const vm_id& self, const std::vector<vm_id>& listed,
+                            time_point now) {
+    const auto contacts = detail::listed_contacts(state, self, listed, now);
+    const std::size_t majority = listed.size() / 2 + 1;
+    return contacts.size() < majority ? time_point{} : contacts[majority - 1];
+}
+
+duration remaining_currency(const currency_state& state, const vm_id& self, const std::vector<vm_id>& listed,
+                            time_point now) {
+    const auto store = std::min(state.store_read, now);
+    const auto proof = std::max(store, majority_contact(state, self, listed, now));
+    if (proof == time_point{}) {
+        return duration::zero();
+    }
+    return std::max(proof + currency_limit - now, duration::zero());
+}
+
+} // namespace endivelever
--- /dev/null
+++ b/tests/fuzz/address_answer_fuzz.cpp
@@ -0,0 +1,37 @@
+#include "endivelever/decide/address_answer.hpp"
+
+#include "fuzz/fixed_seed.hpp"
+
+#include <set>
+
+namespace endivelever {
+namespace {
+
+// Guards against an answer whose addresses all fail together, or that names an entry twice.
+TEST(address_answer_fuzz, names_two_failure_domains_and_no_member_twice) {
+    check_with_seed(504, 500, [] {
+        std::vector<member_record> members;
+        std::set<failure_domain> domains;
+        for (auto step : *steps()) {
+            auto& it = members.emplace_back();
+            it.vm = vm_id("vm-" + std::to_string(members.size()));
+            it.failure_domain = failure_domain("d" + std::to_string(take(step, 16) / 13));
+            it.demand = {take(step, 2), step};
+            domains.insert(it.failure_domain);
+        }
+        random_source random(*rc::gen::arbitrary<std::uint32_t>(), 1);
+        const auto picked = pick_addresses(members, random);
+        std::set<vm_id> names;
+        std::set<failure_domain> picked_domains;
+        for (const auto& it : picked) {
+            names.insert(it.vm);
+            picked_domains.insert(it.failure_domain);
+        }
+        RC_ASSERT(picked.size() == std::min(members.size(), max_answer_addresses));
+        RC_ASSERT(names.size() == picked.size());
+        RC_ASSERT(picked_domains.size() >= std::min<std::size_t>(domains.size(), 2));
+    });
+}
+
+} // namespace
+} // namespace endivelever
