Test HTTP adapters with broken streams and fix what the tests found

Cause: the adapters had no tests of failures. Faults found and fixed: libcurl accepts a response head that ends with the connection; libmicrohttpd repeats the call for the head after a suspension in it, which ended the body at once; libmicrohttpd accepts two lengths, a length with chunked encoding and unknown encodings; idle connections were never marked idle. Conclusion: a truncated body is never taken for whole in these cases.

--- a/include/endivelever/net/http_server.hpp
+++ b/include/endivelever/net/http_server.hpp
@@ -31,7 +31,8 @@
     virtual void pause_body() = 0;
     virtual void resume_body() = 0;
 
-    /// Sends a complete response. May be called from on_head on; the rest of the request body is discarded.
+    /// Sends a complete response. May be called from on_head on; the rest of the request body is discarded
+    /// and neither on_body nor on_body_end is called after a response began.
     virtual void respond(unsigned status, const http_headers& headers, std::string body) = 0;
 
     /// Starts a streamed response. Without a length the body is sent chunked.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -85,10 +85,12 @@
     }
 }
 
-void client_core::mark_socket(curl_socket_t fd, bool busy) {
+void client_core::mark_idle(CURL* easy) {
+    curl_socket_t fd = CURL_SOCKET_BAD;
+    curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &fd);
     const auto found = sockets.find(fd);
     if (found != sockets.end()) {
-        found->second->busy = busy;
+        found->second->busy = false;
     }
 }
 
@@ -128,6 +130,7 @@
     if (what == CURL_POLL_REMOVE) {
         return 0;
     }
+    found->second->busy = true;
     const int events =
         ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) | ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
     if (events != 0) {
@@ -248,7 +251,7 @@
     const auto found = transfers.find(it.id);
     const auto owned = std::move(found->second);
     transfers.erase(found);
-    mark_socket(it.fd, false);
+    mark_idle(it.easy);
     release(it);
     if (it.handlers.on_done) {
         it.handlers.on_done(it.result);
--- a/src/net/http_client_core.hpp
+++ b/src/net/http_client_core.hpp
@@ -46,7 +46,6 @@
     void cancel(transfer_id id);
     void resume(transfer_id id);
     void discard_idle(const std::string& address);
-    void mark_socket(curl_socket_t fd, bool busy);
 
     static curl_socket_t open_socket(void* data, curlsocktype purpose, struct curl_sockaddr* address);
     static int close_socket(void* data, curl_socket_t fd);
@@ -60,6 +59,7 @@
     void finish(transfer_state& it, CURLcode code);
     void release(transfer_state& it);
     void check_progress();
+    void mark_idle(CURL* easy);
     void socket_action(curl_socket_t fd, int flags);
 
     static int on_socket(CURL* easy, curl_socket_t fd, int what, void* data, void* socket_data);
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -13,6 +13,7 @@
 /// once and the connection closed, since a caller that is still sending would lose the response to a reset.
 constexpr std::uint64_t max_discarded_bytes = 4U << 20U;
 constexpr std::size_t reader_block_size = 32UL * 1024UL;
+constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_header_too_large = 431;
 
 bool same_name(std::string_view left, std::string_view right) {
@@ -69,6 +70,27 @@
     }
 }
 
+/// libmicrohttpd 0.9.75 accepts bodies with contradictory lengths, which allows request smuggling.
+/// @return status of the refusal, or 0
+unsigned exchange_state::find_fault() const {
+    std::size_t header_size = m_target.size();
+    std::size_t lengths = 0;
+    std::size_t encodings = 0;
+    bool encoding_known = true;
+    for (const auto& it : m_headers) {
+        header_size += it.name.size() + it.value.size();
+        lengths += same_name(it.name, "Content-Length") ? 1 : 0;
+        if (same_name(it.name, "Transfer-Encoding")) {
+            ++encodings;
+            encoding_known = encoding_known && same_name(it.value, "chunked");
+        }
+    }
+    if (lengths + encodings > 1 || !encoding_known) {
+        return status_bad_request;
+    }
+    return header_size > m_core.opts.max_header_size.value ? status_header_too_large : 0;
+}
+
 MHD_Result exchange_state::handle(const char* data, std::size_t* size) {
     if (m_aborted) {
         return MHD_NO;
@@ -76,6 +98,9 @@
     if (!m_started) {
         return handle_head();
     }
+    if (m_in_head) {
+        return continue_after_head();
+    }
     return *size > 0 ? handle_body(data, size) : handle_end();
 }
 
@@ -83,27 +108,29 @@
     m_started = true;
     copy_headers();
     find_length();
-    std::size_t header_size = m_target.size();
-    for (const auto& it : m_headers) {
-        header_size += it.name.size() + it.value.size();
-    }
-    if (header_size > m_core.opts.max_header_size.value) {
-        respond(status_header_too_large, {}, "request header is too large\n");
+    if (const unsigned status = find_fault(); status != 0) {
+        m_must_close = true;
+        respond(status, {},
+                status == status_bad_request ? "body length is ambiguous\n" : "header is too large\n");
     } else {
         m_core.callbacks.on_head(*this);
     }
-    if (m_aborted) {
-        return MHD_NO;
-    }
+    return m_aborted ? MHD_NO : continue_after_head();
+}
+
+/// libmicrohttpd repeats the call for the head when the connection was suspended in it.
+MHD_Result exchange_state::continue_after_head() {
     if (m_response != nullptr && may_answer_early()) {
+        m_in_head = false;
         return queue_response();
     }
-    return m_paused && m_response == nullptr ? suspend() : MHD_YES;
+    m_in_head = m_paused && m_response == nullptr;
+    return m_in_head ? suspend() : MHD_YES;
 }
 
 bool exchange_state::may_answer_early() const {
     const bool too_much = m_length.has_value() && *m_length > max_discarded_bytes;
-    return too_much || find_header(m_headers, "Expect") != nullptr;
+    return m_must_close || too_much || find_header(m_headers, "Expect") != nullptr;
 }
 
 MHD_Result exchange_state::handle_body(const char* data, std::size_t* size) {
@@ -185,7 +212,7 @@
             MHD_add_response_header(response, it.name.c_str(), it.value.c_str());
         }
     }
-    if (m_core.stopping) {
+    if (m_core.stopping || m_must_close) {
         MHD_add_response_header(response, "Connection", "close");
     }
 }
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -56,6 +56,7 @@
 
   private:
     MHD_Result handle_head();
+    MHD_Result continue_after_head();
     MHD_Result handle_body(const char* data, std::size_t* size);
     MHD_Result handle_end();
     MHD_Result queue_response();
@@ -64,6 +65,7 @@
     void set_response(unsigned status, const http_headers& headers, MHD_Response* response);
     static ssize_t read_body(void* cls, std::uint64_t pos, char* buf, std::size_t max);
     ssize_t read_body(char* buf, std::size_t max);
+    [[nodiscard]] unsigned find_fault() const;
     void copy_headers();
     void find_length();
 
@@ -81,6 +83,7 @@
     std::uint64_t m_out_total = 0;
     std::uint64_t m_discarded = 0;
     bool m_started = false;
+    bool m_in_head = false; ///< suspended before the first part of the body
     bool m_body_ended = false;
     bool m_paused = false;
     bool m_suspended = false;
@@ -88,6 +91,7 @@
     bool m_full = false;
     bool m_finished = false;
     bool m_aborted = false;
+    bool m_must_close = false;
 };
 
 /// Shared by the server and its exchanges.
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -120,8 +120,6 @@
     }
     it.result.sent = true;
     it.last_progress = boot_clock::now();
-    curl_easy_getinfo(it.easy, CURLINFO_ACTIVESOCKET, &it.fd);
-    it.core->mark_socket(it.fd, true);
     return CURL_PREREQFUNC_OK;
 }
 
@@ -220,7 +218,9 @@
         return;
     }
     if (code == CURLE_OK) {
-        end.failure = transfer_failure::none;
+        // libcurl accepts a head that is cut off by the end of the connection.
+        end.failure = it.head_done ? transfer_failure::none : transfer_failure::broken;
+        end.detail = it.head_done ? "" : "response head is cut off";
         return;
     }
     end.detail = curl_easy_strerror(code);
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -21,7 +21,6 @@
     curl_slist* header_list = nullptr;
     http_headers response_headers;
     time_point last_progress{};
-    curl_socket_t fd = CURL_SOCKET_BAD; ///< socket of the connection in use
     bool head_done = false;
     bool paused = false;
     bool cancelled = false;
--- /dev/null
+++ b/tests/contract/http_client_test.cpp
@@ -0,0 +1,269 @@
+#include "http_fixture.hpp"
+
+#include <vector>
+
+namespace endivelever::http_test {
+namespace {
+
+/// Server that answers each request with the next scripted bytes and then keeps, closes or resets.
+struct scripted_server {
+    enum class after { keep, close, reset };
+    struct step {
+        std::string response;
+        after then = after::keep;
+    };
+    raw_listener listener;
+    std::vector<step> steps;
+    std::vector<std::unique_ptr<raw_socket>> peers;
+    std::size_t requests = 0;
+    timer poll;
+
+    scripted_server(struct ev_loop* loop, std::vector<step> script)
+        : steps(std::move(script)), poll(loop, [this] { work(); }) {
+        poll.start(1ms, 1ms);
+    }
+    void work() {
+        while (auto peer = listener.accept_one()) {
+            peers.push_back(std::move(peer));
+        }
+        for (auto& peer : peers) {
+            peer->read_available();
+            if (peer->received.find("\r\n\r\n") == std::string::npos) {
+                continue;
+            }
+            peer->received.clear();
+            const auto& now = steps.at(std::min(requests, steps.size() - 1));
+            ++requests;
+            peer->send_some(now.response);
+            if (now.then == after::close) {
+                peer->close();
+            } else if (now.then == after::reset) {
+                peer->reset_now();
+            }
+        }
+    }
+};
+
+using after = scripted_server::after;
+constexpr const char* whole_response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+http_reply fetch_and_wait(test_loop& loop, http_client& client, http_request request) {
+    std::optional<http_reply> reply;
+    fetch(client, std::move(request), byte_count{1000}, [&](const http_reply& it) { reply = it; });
+    EXPECT_TRUE(loop.run_until([&] { return reply.has_value(); }));
+    return reply.value_or(http_reply{});
+}
+
+struct broken_case {
+    const char* name;
+    const char* response;
+    after then;
+    transfer_failure expected;
+};
+
+class broken_response : public testing::TestWithParam<broken_case> {};
+
+// Guards against a truncated or malformed response that is taken for a complete one.
+TEST_P(broken_response, is_not_complete) {
+    test_loop loop;
+    scripted_server server(loop.get(), {{GetParam().response, GetParam().then}});
+    http_client client(loop.get(), 0);
+    http_request request;
+    request.address = server.listener.address();
+    request.progress_timeout = 200ms;
+    const auto reply = fetch_and_wait(loop, client, request);
+    EXPECT_EQ(GetParam().expected, reply.end.failure) << reply.end.detail;
+    EXPECT_TRUE(reply.end.sent);
+    EXPECT_EQ(1U, server.requests);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    responses, broken_response,
+    testing::Values(
+        broken_case{"whole", whole_response, after::close, transfer_failure::none},
+        broken_case{"whole_chunked",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", after::close,
+                    transfer_failure::none},
+        broken_case{"no_content", "HTTP/1.1 204 No Content\r\n\r\n", after::keep, transfer_failure::none},
+        broken_case{"interim_then_whole",
+                    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", after::keep,
+                    transfer_failure::none},
+        broken_case{"nothing", "", after::close, transfer_failure::broken},
+        broken_case{"nothing_reset", "", after::reset, transfer_failure::broken},
+        broken_case{"half_a_head", "HTTP/1.1 200 OK\r\nContent-Le", after::close, transfer_failure::broken},
+        broken_case{"short_of_length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", after::close,
+                    transfer_failure::broken},
+        broken_case{"short_of_length_reset", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", after::reset,
+                    transfer_failure::broken},
+        broken_case{"chunk_missing", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                    after::close, transfer_failure::broken},
+        broken_case{"half_a_chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok",
+                    after::close, transfer_failure::broken},
+        broken_case{"ended_by_close", "HTTP/1.1 200 OK\r\n\r\nok", after::close, transfer_failure::broken},
+        broken_case{"http_1_0_ended_by_close", "HTTP/1.0 200 OK\r\n\r\nok", after::close,
+                    transfer_failure::broken},
+        broken_case{"silent", "", after::keep, transfer_failure::timeout},
+        broken_case{"silent_after_head", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", after::keep,
+                    transfer_failure::timeout},
+        broken_case{"chunk_size_invalid", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n",
+                    after::keep, transfer_failure::broken}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against reporting a refused connection as possibly run.
+TEST(http_client, refused_connection_is_not_sent) {
+    test_loop loop;
+    http_client client(loop.get(), 0);
+    http_request request;
+    {
+        const raw_listener closed_later;
+        request.address = closed_later.address();
+    }
+    const auto reply = fetch_and_wait(loop, client, request);
+    EXPECT_EQ(transfer_failure::connect, reply.end.failure);
+    EXPECT_FALSE(reply.end.sent);
+}
+
+struct resend_case {
+    const char* name;
+    const char* method;
+    bool has_body;
+    after then;
+};
+
+class reused_connection : public testing::TestWithParam<resend_case> {};
+
+// Guards against libcurl's silent resend: the server would run the request twice.
+TEST_P(reused_connection, that_dies_gets_no_second_send) {
+    test_loop loop;
+    scripted_server server(loop.get(), {{whole_response, after::keep}, {"", GetParam().then}});
+    http_client client(loop.get(), 0);
+    http_request request;
+    request.address = server.listener.address();
+    request.method = GetParam().method;
+    request.has_body = GetParam().has_body;
+    request.body = GetParam().has_body ? "order" : "";
+    EXPECT_EQ(transfer_failure::none, fetch_and_wait(loop, client, request).end.failure);
+    const auto second = fetch_and_wait(loop, client, request);
+    EXPECT_NE(transfer_failure::none, second.end.failure);
+    EXPECT_TRUE(second.end.sent);
+    EXPECT_FALSE(second.end.new_connection && second.end.failure == transfer_failure::broken);
+    loop.run_for(50ms);
+    EXPECT_EQ(2U, server.requests);
+}
+
+INSTANTIATE_TEST_SUITE_P(deaths, reused_connection,
+                         testing::Values(resend_case{"get_closed", "GET", false, after::close},
+                                         resend_case{"get_reset", "GET", false, after::reset},
+                                         resend_case{"post_closed", "POST", true, after::close},
+                                         resend_case{"post_reset", "POST", true, after::reset}),
+                         [](const auto& it) { return it.param.name; });
+
+// Guards against failures when a server closes an idle connection, which is its right.
+TEST(http_client, replaces_a_connection_closed_while_idle) {
+    test_loop loop;
+    scripted_server server(loop.get(), {{whole_response, after::keep}});
+    http_client client(loop.get(), 0);
+    http_request request;
+    request.address = server.listener.address();
+    EXPECT_EQ(transfer_failure::none, fetch_and_wait(loop, client, request).end.failure);
+    server.peers.clear();
+    const auto second = fetch_and_wait(loop, client, request);
+    EXPECT_EQ(transfer_failure::none, second.end.failure) << second.end.detail;
+    EXPECT_TRUE(second.end.new_connection);
+}
+
+// Guards against reuse of connections to a server that went silent.
+TEST(http_client, discard_idle_forces_a_new_connection) {
+    test_loop loop;
+    scripted_server server(loop.get(), {{whole_response, after::keep}});
+    http_client client(loop.get(), 0);
+    http_request request;
+    request.address = server.listener.address();
+    fetch_and_wait(loop, client, request);
+    EXPECT_FALSE(fetch_and_wait(loop, client, request).end.new_connection);
+    client.discard_idle(request.address);
+    const auto third = fetch_and_wait(loop, client, request);
+    EXPECT_EQ(transfer_failure::none, third.end.failure) << third.end.detail;
+    EXPECT_TRUE(third.end.new_connection);
+}
+
+// Guards against a late response that is delivered to the next request on the connection.
+TEST(http_client, timed_out_connection_is_not_reused) {
+    test_loop loop;
+    scripted_server server(loop.get(), {{"", after::keep}, {whole_response, after::keep}});
+    http_client client(loop.get(), 0);
+    http_request request;
+    request.address = server.listener.address();
+    request.timeout = 100ms;
+    EXPECT_EQ(transfer_failure::timeout, fetch_and_wait(loop, client, request).end.failure);
+    request.timeout = 10s;
+    const auto second = fetch_and_wait(loop, client, request);
+    EXPECT_TRUE(second.end.new_connection);
+    EXPECT_EQ("ok", second.body);
+    EXPECT_TRUE(loop.run_until([&] { return server.peers.at(0)->closed(); }));
+}
+
+// Guards against a cancelled call that goes on running at the server.
+TEST(http_client, cancel_closes_the_connection_without_callback) {
+    test_loop loop;
+    scripted_server server(loop.get(), {{"", after::keep}, {whole_response, after::keep}});
+    http_client client(loop.get(), 0);
+    http_request request;
+    request.address = server.listener.address();
+    transfer_handlers on;
+    bool called = false;
+    on.on_done = [&](const transfer_result& /*end*/) { called = true; };
+    const auto id = client.start(request, on);
+    ASSERT_TRUE(loop.run_until([&] { return server.requests == 1; }));
+    client.cancel(id);
+    client.cancel(id);
+    EXPECT_TRUE(loop.run_until([&] { return server.peers.at(0)->closed(); }));
+    EXPECT_TRUE(fetch_and_wait(loop, client, request).end.new_connection);
+    EXPECT_FALSE(called);
+}
+
+// Guards against more connections to a server than its share, and against lost waiting transfers.
+TEST(http_client, limit_of_connections_makes_transfers_wait) {
+    test_loop loop;
+    echo_server echo(loop.get());
+    std::vector<http_exchange*> held;
+    echo.answer = [&](http_exchange& it, const std::string& /*body*/) { held.push_back(&it); };
+    http_client client(loop.get(), 2);
+    http_request request;
+    request.address = echo.address();
+    int done = 0;
+    for (int i = 0; i < 5; ++i) {
+        fetch(client, request, byte_count{10}, [&](const http_reply& it) {
+            EXPECT_EQ(transfer_failure::none, it.end.failure);
+            ++done;
+        });
+    }
+    ASSERT_TRUE(loop.run_until([&] { return held.size() == 2; }));
+    loop.run_for(50ms);
+    EXPECT_EQ(2U, held.size());
+    const auto answered = [&] {
+        for (auto* it : std::exchange(held, {})) {
+            it->respond(200, {}, "");
+        }
+        return done == 5;
+    };
+    EXPECT_TRUE(loop.run_until(answered));
+}
+
+// Guards against unbounded memory when a server sends more than expected.
+TEST(http_client, fetch_cuts_off_a_body_above_the_limit) {
+    test_loop loop;
+    echo_server echo(loop.get());
+    echo.answer = [](http_exchange& it, const std::string& /*body*/) {
+        it.respond(200, {}, std::string(5000, 'x'));
+    };
+    http_client client(loop.get(), 0);
+    http_request request;
+    request.address = echo.address();
+    const auto reply = fetch_and_wait(loop, client, request);
+    EXPECT_EQ(transfer_failure::broken, reply.end.failure);
+    EXPECT_LE(reply.body.size(), 1000U);
+}
+
+} // namespace
+} // namespace endivelever::http_test
--- /dev/null
+++ b/tests/contract/http_server_test.cpp
@@ -0,0 +1,307 @@
+#include "http_fixture.hpp"
+
+namespace endivelever::http_test {
+namespace {
+
+std::size_t count_of(const std::string& text, const std::string& part) {
+    std::size_t n = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++n;
+    }
+    return n;
+}
+
+struct bad_request_case {
+    const char* name;
+    std::string bytes;
+    const char* status; ///< start of the status line, or empty if the connection may just close
+    bool reaches_handler;
+};
+
+class bad_request : public testing::TestWithParam<bad_request_case> {};
+
+// Guards against malformed requests that reach the user as whole, which allows request smuggling.
+TEST_P(bad_request, is_refused) {
+    test_loop loop;
+    http_server::options opts;
+    opts.max_header_size = byte_count{4096};
+    echo_server echo(loop.get(), opts);
+    std::uint32_t whole = 0;
+    echo.answer = [&](http_exchange& it, const std::string& body) {
+        ++whole;
+        it.respond(200, {}, body);
+    };
+    auto caller = raw_socket::connect_to(echo.server->port());
+    caller.send_some(GetParam().bytes);
+    ASSERT_TRUE(loop.run_until([&] {
+        caller.read_available();
+        return caller.closed();
+    }));
+    EXPECT_TRUE(caller.received.starts_with(GetParam().status)) << caller.received;
+    EXPECT_EQ(GetParam().reaches_handler ? 1U : 0U, echo.requests);
+    EXPECT_EQ(0U, whole);
+    EXPECT_EQ(0U, echo.server->open_exchanges());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    requests, bad_request,
+    testing::Values(
+        bad_request_case{"garbage", "\x01\x02\x03 garbage\r\n\r\n", "HTTP/1.", false},
+        bad_request_case{"header_too_large",
+                         "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(60'000, 'x') + "\r\n\r\n",
+                         "HTTP/1.1 431", false},
+        bad_request_case{"target_too_large",
+                         "GET /" + std::string(60'000, 'x') + " HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 4",
+                         false},
+        bad_request_case{"no_host", "GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 400", false},
+        bad_request_case{"length_not_a_number",
+                         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5x\r\n\r\nhello", "HTTP/1.1 400",
+                         false},
+        bad_request_case{"two_lengths",
+                         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\nhello",
+                         "HTTP/1.1 400", false},
+        bad_request_case{
+            "length_and_chunked",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "0\r\n\r\n",
+            "HTTP/1.1 400", false},
+        bad_request_case{"unknown_encoding",
+                         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\nhello", "HTTP/1.1 400",
+                         false},
+        bad_request_case{"bad_chunk_size",
+                         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+                         "HTTP/1.1 400", true}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against header limits that depend on libmicrohttpd's memory pool only.
+TEST(http_server, header_above_the_limit_is_refused_before_the_handler) {
+    test_loop loop;
+    http_server::options opts;
+    opts.max_header_size = byte_count{4096};
+    echo_server echo(loop.get(), opts);
+    auto caller = raw_socket::connect_to(echo.server->port());
+    caller.send_some("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(5000, 'x') + "\r\n\r\n");
+    ASSERT_TRUE(loop.run_until([&] {
+        caller.read_available();
+        return !caller.received.empty();
+    }));
+    EXPECT_TRUE(caller.received.starts_with("HTTP/1.1 431"));
+    EXPECT_EQ(0U, echo.requests);
+}
+
+// Guards against lost or reordered responses when a caller sends requests without waiting.
+TEST(http_server, pipelined_requests_are_answered_in_order) {
+    test_loop loop;
+    echo_server echo(loop.get());
+    auto caller = raw_socket::connect_to(echo.server->port());
+    std::string all;
+    for (const auto* body : {"one", "two", "six"}) {
+        all += std::string("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n") + body;
+    }
+    caller.send_some(all);
+    ASSERT_TRUE(loop.run_until([&] {
+        caller.read_available();
+        return count_of(caller.received, "HTTP/1.1 200") == 3 && caller.received.ends_with("six");
+    }));
+    EXPECT_LT(caller.received.find("\r\n\r\none"), caller.received.find("\r\n\r\ntwo"));
+    EXPECT_LT(caller.received.find("\r\n\r\ntwo"), caller.received.find("\r\n\r\nsix"));
+}
+
+// Guards against a server that reads only what arrives with the first packet.
+TEST(http_server, slow_sender_is_served) {
+    test_loop loop;
+    echo_server echo(loop.get());
+    auto caller = raw_socket::connect_to(echo.server->port());
+    const std::string bytes = "POST /slow HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    std::size_t at = 0;
+    ASSERT_TRUE(loop.run_until([&] {
+        if (at < bytes.size()) {
+            at += caller.send_some(bytes.substr(at, 1));
+        }
+        caller.read_available();
+        return caller.received.ends_with("abcde");
+    }));
+}
+
+struct leave_case {
+    const char* name;
+    bool with_reset;
+    bool during_response;
+};
+
+class caller_leaves : public testing::TestWithParam<leave_case> {};
+
+// Guards against work that goes on for a caller who has left.
+TEST_P(caller_leaves, is_noticed_while_the_exchange_waits) {
+    test_loop loop;
+    echo_server echo(loop.get());
+    echo.answer = [&](http_exchange& it, const std::string& /*body*/) {
+        if (GetParam().during_response) {
+            it.begin_response(200, {}, 100);
+            it.write("part");
+        }
+    };
+    auto caller = raw_socket::connect_to(echo.server->port());
+    caller.send_some("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(loop.run_until([&] {
+        caller.read_available();
+        return echo.requests == 1 && (!GetParam().during_response || !caller.received.empty());
+    }));
+    if (GetParam().with_reset) {
+        caller.reset_now();
+    } else {
+        caller.close();
+    }
+    EXPECT_TRUE(loop.run_until([&] { return echo.cut_off == 1; }));
+    EXPECT_EQ(0U, echo.completed);
+}
+
+INSTANTIATE_TEST_SUITE_P(ways, caller_leaves,
+                         testing::Values(leave_case{"close", false, false}, leave_case{"reset", true, false},
+                                         leave_case{"close_in_response", false, true},
+                                         leave_case{"reset_in_response", true, true}),
+                         [](const auto& it) { return it.param.name; });
+
+struct cut_case {
+    const char* name;
+    const char* request;
+    std::optional<std::uint64_t> length;
+    bool finish_short; ///< finish() before the stated length instead of abort()
+};
+
+class cut_response : public testing::TestWithParam<cut_case> {};
+
+// Guards against a truncated body that a caller takes for whole.
+TEST_P(cut_response, never_looks_complete) {
+    test_loop loop;
+    echo_server echo(loop.get());
+    http_exchange* open = nullptr;
+    echo.answer = [&](http_exchange& it, const std::string& /*body*/) {
+        open = &it;
+        it.begin_response(200, {}, GetParam().length);
+        it.write("part");
+    };
+    auto caller = raw_socket::connect_to(echo.server->port());
+    caller.send_some(GetParam().request);
+    ASSERT_TRUE(loop.run_until([&] {
+        caller.read_available();
+        return caller.received.find("part") != std::string::npos;
+    }));
+    if (GetParam().finish_short) {
+        open->finish();
+    } else {
+        open->abort();
+    }
+    ASSERT_TRUE(loop.run_until([&] {
+        caller.read_available();
+        return caller.closed() && echo.cut_off == 1;
+    }));
+    EXPECT_TRUE(caller.reset || GetParam().finish_short);
+    EXPECT_EQ(std::string::npos, caller.received.find("\r\n0\r\n"));
+}
+
+constexpr const char* plain_get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+INSTANTIATE_TEST_SUITE_P(responses, cut_response,
+                         testing::Values(cut_case{"with_length", plain_get, 100, false},
+                                         cut_case{"chunked", plain_get, {}, false},
+                                         cut_case{"http_1_0", "GET / HTTP/1.0\r\nHost: a\r\n\r\n", {}, false},
+                                         cut_case{"finished_short", plain_get, 100, true}),
+                         [](const auto& it) { return it.param.name; });
+
+struct early_case {
+    const char* name;
+    std::string head;
+    std::size_t body;
+};
+
+class early_response : public testing::TestWithParam<early_case> {};
+
+// Guards against a refusal that the caller cannot read because its body is still on the way.
+TEST_P(early_response, reaches_a_caller_that_sends_a_body) {
+    test_loop loop;
+    http_server::handlers on;
+    bool body_end = false;
+    on.on_head = [](http_exchange& it) { it.respond(413, {{"X-Outcome", "not-run"}}, "too large"); };
+    on.on_body = [](http_exchange& /*it*/, std::string_view /*data*/) {
+        ADD_FAILURE() << "body after response";
+    };
+    on.on_body_end = [&](http_exchange& /*it*/) { body_end = true; };
+    auto server = http_server::open(loop.get(), socket_address("127.0.0.1:0"), {}, std::move(on));
+    ASSERT_TRUE(server.has_value());
+    auto caller = raw_socket::connect_to((*server)->port());
+    caller.send_some(GetParam().head);
+    const std::string body(GetParam().body, 'x');
+    std::size_t at = 0;
+    ASSERT_TRUE(loop.run_until([&] {
+        at += caller.send_some(std::string_view(body).substr(at));
+        caller.read_available();
+        return caller.received.ends_with("too large");
+    }));
+    EXPECT_TRUE(caller.received.starts_with("HTTP/1.1 413"));
+    EXPECT_FALSE(body_end);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    bodies, early_response,
+    testing::Values(
+        early_case{"none", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 0},
+        early_case{"small", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n", 1000},
+        early_case{"medium", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000\r\n\r\n", 2'000'000},
+        early_case{"never_sent", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000\r\n\r\n", 0},
+        early_case{"expect_continue",
+                   "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 1000\r\n\r\n", 0}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against new work after a planned stop began, and against cutting off what is in progress.
+TEST(http_server, stop_accepting_completes_open_requests_and_closes) {
+    test_loop loop;
+    echo_server echo(loop.get());
+    http_exchange* open = nullptr;
+    echo.answer = [&](http_exchange& it, const std::string& /*body*/) { open = &it; };
+    auto caller = raw_socket::connect_to(echo.server->port());
+    caller.send_some(plain_get);
+    ASSERT_TRUE(loop.run_until([&] { return open != nullptr; }));
+    echo.server->stop_accepting();
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(echo.server->port());
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_NE(0, connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to));
+    close(fd);
+    open->respond(200, {}, "late");
+    ASSERT_TRUE(loop.run_until([&] {
+        caller.read_available();
+        return caller.closed();
+    }));
+    EXPECT_TRUE(caller.received.ends_with("late"));
+    EXPECT_NE(std::string::npos, caller.received.find("Connection: close"));
+}
+
+// Guards against libmicrohttpd's abort when it is stopped with suspended connections.
+TEST(http_server, may_be_destroyed_with_an_open_exchange) {
+    test_loop loop;
+    auto echo = std::make_unique<echo_server>(loop.get());
+    echo->answer = [](http_exchange& /*it*/, const std::string& /*body*/) {};
+    auto caller = raw_socket::connect_to(echo->server->port());
+    caller.send_some(plain_get);
+    ASSERT_TRUE(loop.run_until([&] { return echo->requests == 1; }));
+    echo.reset();
+    EXPECT_TRUE(loop.run_until([&] {
+        caller.read_available();
+        return caller.closed();
+    }));
+}
+
+// Guards against silent acceptance of an address that is in use.
+TEST(http_server, address_in_use_is_an_error_that_names_it) {
+    test_loop loop;
+    const raw_listener other;
+    const auto opened = http_server::open(loop.get(), other.address(), {}, {});
+    ASSERT_FALSE(opened.has_value());
+    EXPECT_NE(std::string::npos, opened.error().message.find(other.address().text));
+}
+
+} // namespace
+} // namespace endivelever::http_test
