--- a/include/endivelever/config/settings.hpp
+++ b/include/endivelever/config/settings.hpp
@@ -53,7 +53,7 @@
 /// Limits of the listener for callers.
 struct listener_limits {
     std::uint32_t max_connections = 4000;
-    byte_count max_header_size{16U * 1024U};
+    byte_count max_header_size{16'384};
     duration idle_timeout{};
 };
 
@@ -88,6 +88,9 @@
 /// Reads and parses a settings file; errors as parse_settings(), or the file cannot be read.
 result<settings> load_settings(const std::string& path);
 
+/// @return JSON text that parse_settings() reads back to an equal value; it contains the keys
+std::string to_json(const settings& value);
+
 /// Splits an address into host and port.
 /// @return host without brackets and port 0 to 65535, or error [config.N]
 struct host_and_port {
