Add the store client and the control process

Cause: presets, drains and the VM list have to reach every entry within seconds, with the store down as well, and operators need one place to change and see them. Change: store/ classifies each answer (value, unchanged, absent, conflict, unknown, unavailable) and limits calls in every window of one second, with a budget of its own for operators. control/ holds the links, heartbeats, document exchange, store watch, feed, changes of presets and drains with read-back by operation id, the operators' HTTP interface and the graceful stop. A heartbeat of a member with a newer preset is no proof of currency; buffered frames are dropped after a pause; a switch needs contact with a majority of the listed entry VMs, so that it is never accepted on the small side of a partition.

--- /dev/null
+++ b/include/endivelever/store/store_client.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "endivelever/net/event_loop.hpp"
+#include "endivelever/store/call_budget.hpp"
+#include "endivelever/store/store_answer.hpp"
+
+#include <deque>
+#include <functional>
+#include <string>
+
+struct ev_loop;
+
+namespace endivelever {
+
+/// Deadlines and budgets of one member's calls to the platform.
+struct store_limits {
+    duration read_deadline = std::chrono::milliseconds(1000);
+    duration write_deadline = std::chrono::milliseconds(2000);
+    duration watch_margin = std::chrono::milliseconds(1000); ///< added to the wait of a watch
+    std::uint32_t background_calls_per_second = 20;          ///< reads, watches and lists
+    std::uint32_t change_calls_per_second = 20; ///< calls for operators; never starved by the others
+};
+
+/// Counts of one member's calls to the platform.
+struct store_counts {
+    std::uint64_t calls = 0;
+    std::uint64_t over_budget = 0;
+    std::uint64_t unavailable = 0;
+    std::uint64_t unknown = 0;
+};
+
+/// What a call is made for; each purpose has its own budget.
+enum class store_purpose { background, change };
+
+/// Client for the object store and the VM list (section 7.3 of docs/design.md). Every call has a deadline and
+/// is made at most once; retries are up to the caller, with back_off. Handlers run from the loop, never from
+/// within the call. The key "vm-list" names the VM list.
+class store_client {
+  public:
+    using handler = std::function<void(const store_answer&)>;
+    using list_handler = std::function<void(const store_list_answer&)>;
+
+    store_client(struct ev_loop* loop, socket_address platform, const store_limits& limits);
+
+    void read(const document_key& key, store_purpose purpose, handler on_done);
+    /// Waits for a version above `known`. @param wait  at least 1 ms
+    void watch(const document_key& key, document_version known, duration wait, handler on_done);
+    /// Conditional write. @param expected  version to replace; 0 to create the object
+    void write(const document_key& key, std::string payload, document_version expected, handler on_done);
+    /// Lists key and version of all objects whose keys start with `prefix`.
+    void list(const std::string& prefix, list_handler on_done);
+
+    [[nodiscard]] const store_counts& counts() const { return m_counts; }
+
+  private:
+    using reply_handler = std::function<void(const http_reply&)>;
+    void send(http_request request, store_purpose purpose, reply_handler on_done);
+    void refuse(reply_handler on_done);
+    void finish_refused();
+    handler counted(handler on_done);
+
+    socket_address m_platform;
+    store_limits m_limits;
+    call_budget m_background;
+    call_budget m_change;
+    store_counts m_counts;
+    std::deque<reply_handler> m_refused;
+    timer m_refusal_timer;
+    http_client m_client;
+};
+
+} // namespace endivelever
--- /dev/null
+++ b/src/store/store_answer.cpp
@@ -0,0 +1,105 @@
+#include "endivelever/store/store_answer.hpp"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace endivelever {
+namespace detail {
+
+constexpr unsigned http_ok = 200;
+constexpr unsigned http_not_modified = 304;
+constexpr unsigned http_not_found = 404;
+constexpr unsigned http_precondition_failed = 412;
+
+std::optional<document_version> version_of(const http_reply& reply) {
+    const auto* etag = find_header(reply.headers, "ETag");
+    return etag == nullptr ? std::nullopt : parse_etag(*etag);
+}
+
+std::string describe(const http_reply& reply) {
+    if (reply.end.failure != transfer_failure::none) {
+        return reply.end.detail.empty() ? "no complete response" : reply.end.detail;
+    }
+    return "status " + std::to_string(reply.end.status) + " without a usable version";
+}
+
+store_answer with_version(store_status status, const http_reply& reply, store_status otherwise) {
+    const auto version = version_of(reply);
+    if (!version) {
+        return {otherwise, {}, {}, {}, describe(reply)};
+    }
+    return {status, *version, {}, {}, {}};
+}
+
+} // namespace detail
+
+std::optional<document_version> parse_etag(std::string_view text) {
+    if (text.size() < 3 || text.front() != '"' || text.back() != '"') {
+        return std::nullopt;
+    }
+    const auto digits = text.substr(1, text.size() - 2);
+    document_version version;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), version.value);
+    const bool whole = ec == std::errc{} && end == digits.data() + digits.size();
+    return whole && version.value != 0 ? std::optional(version) : std::nullopt;
+}
+
+store_answer read_answer(const http_reply& reply) {
+    if (reply.end.failure != transfer_failure::none) {
+        return {store_status::unavailable, {}, {}, {}, detail::describe(reply)};
+    }
+    switch (reply.end.status) {
+    case detail::http_ok: {
+        auto answer = detail::with_version(store_status::value, reply, store_status::unavailable);
+        answer.payload = reply.body;
+        return answer;
+    }
+    case detail::http_not_modified:
+        return {store_status::unchanged, {}, {}, {}, {}};
+    case detail::http_not_found:
+        return {store_status::absent, {}, {}, {}, {}};
+    default:
+        return {store_status::unavailable, {}, {}, {}, detail::describe(reply)};
+    }
+}
+
+store_answer write_answer(const http_reply& reply) {
+    if (!reply.end.sent) {
+        return {store_status::unavailable, {}, {}, {}, detail::describe(reply)};
+    }
+    if (reply.end.failure != transfer_failure::none) {
+        return {store_status::unknown, {}, {}, {}, detail::describe(reply)};
+    }
+    switch (reply.end.status) {
+    case detail::http_ok:
+        return detail::with_version(store_status::value, reply, store_status::unknown);
+    case detail::http_precondition_failed:
+        // A refusal without the present version is still a refusal; the caller reads the object.
+        return {store_status::conflict, detail::version_of(reply).value_or(document_version{}), {}, {}, {}};
+    default:
+        return {store_status::unknown, {}, {}, {}, detail::describe(reply)};
+    }
+}
+
+store_list_answer list_answer(const http_reply& reply) {
+    if (reply.end.failure != transfer_failure::none || reply.end.status != detail::http_ok) {
+        return {store_status::unavailable, {}, detail::describe(reply)};
+    }
+    const auto json = nlohmann::json::parse(reply.body, nullptr, false);
+    if (!json.is_array()) {
+        return {store_status::unavailable, {}, "list is not a JSON array"};
+    }
+    store_list_answer answer{store_status::value, {}, {}};
+    for (const auto& it : json) {
+        const bool valid = it.is_object() && it.contains("key") && it["key"].is_string() &&
+                           it.contains("version") && it["version"].is_number_unsigned();
+        if (!valid) {
+            return {store_status::unavailable, {}, "list item without key and version"};
+        }
+        answer.objects.push_back(
+            {document_key(it["key"].get<std::string>()), {it["version"].get<std::uint64_t>()}});
+    }
+    return answer;
+}
+
+} // namespace endivelever
--- /dev/null
+++ b/tests/contract/store_client_test.cpp
@@ -0,0 +1,138 @@
+#include "contract/scripted_store.hpp"
+#include "endivelever/store/store_client.hpp"
+
+namespace endivelever::http_test {
+namespace {
+
+using store = scripted_store;
+using manner = scripted_store::manner;
+
+enum class call { read, watch, write };
+
+struct answer_case {
+    const char* name;
+    call what;
+    store::line line;
+    store_status status;
+    std::uint64_t version;
+};
+
+store_limits short_limits() {
+    store_limits limits;
+    limits.read_deadline = 300ms;
+    limits.write_deadline = 300ms;
+    limits.watch_margin = 200ms;
+    return limits;
+}
+
+class store_answers : public testing::TestWithParam<answer_case> {};
+
+// Guards against an answer that is taken for more than it proves: a lost answer to a write must never count
+// as accepted or refused, and a garbled one never as a value.
+TEST_P(store_answers, follow_the_table) {
+    test_loop loop;
+    store server(loop.get(), {GetParam().line});
+    store_client client(loop.get(), server.listener.address(), short_limits());
+    std::optional<store_answer> answer;
+    const auto keep = [&answer](const store_answer& it) { answer = it; };
+    switch (GetParam().what) {
+    case call::read:
+        client.read(document_key("preset/in-force"), store_purpose::background, keep);
+        break;
+    case call::watch:
+        client.watch(document_key("vm-list"), document_version{4}, 100ms, keep);
+        break;
+    case call::write:
+        client.write(document_key("drains"), "{}", document_version{6}, keep);
+        break;
+    }
+    ASSERT_TRUE(loop.run_until([&] { return answer.has_value(); }));
+    EXPECT_EQ(answer->status, GetParam().status) << answer->detail;
+    EXPECT_EQ(answer->version.value, GetParam().version);
+    EXPECT_EQ(answer->payload,
+              answer->status == store_status::value && GetParam().what != call::write ? "abc" : "");
+    EXPECT_EQ(server.requests.size(), 1U);
+}
+
+const store::line silent{manner::silent, {}};
+const store::line closed{manner::close, {}};
+const store::line cut_off{manner::close, "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 9\r\n\r\nabc"};
+
+INSTANTIATE_TEST_SUITE_P(
+    cases, store_answers,
+    testing::Values(
+        answer_case{"value", call::read, store::value(7, "abc"), store_status::value, 7},
+        answer_case{"absent", call::read, store::plain("404 Not Found"), store_status::absent, 0},
+        answer_case{"slow", call::read, {manner::slow, store::value(7, "abc").text}, store_status::value, 7},
+        answer_case{"silent", call::read, silent, store_status::unavailable, 0},
+        answer_case{"closed", call::read, closed, store_status::unavailable, 0},
+        answer_case{"cut_off", call::read, cut_off, store_status::unavailable, 0},
+        answer_case{"outage", call::read, store::plain("503 Unavailable"), store_status::unavailable, 0},
+        answer_case{
+            "garbage", call::read, {manner::answer, "not http\r\n\r\n"}, store_status::unavailable, 0},
+        answer_case{"no_etag", call::read, store::plain("200 OK"), store_status::unavailable, 0},
+        answer_case{"weak_etag", call::read, store::plain("200 OK", "ETag: W/\"7\"\r\n"),
+                    store_status::unavailable, 0},
+        answer_case{"watch_value", call::watch, store::value(7, "abc"), store_status::value, 7},
+        answer_case{"watch_unchanged", call::watch, store::plain("304 Not Modified"), store_status::unchanged,
+                    0},
+        answer_case{"watch_silent", call::watch, silent, store_status::unavailable, 0},
+        answer_case{"write_accepted", call::write, store::plain("200 OK", "ETag: \"7\"\r\n"),
+                    store_status::value, 7},
+        answer_case{"write_conflict", call::write, store::plain("412 Precondition Failed", "ETag: \"9\"\r\n"),
+                    store_status::conflict, 9},
+        answer_case{"write_lost_answer", call::write, closed, store_status::unknown, 0},
+        answer_case{"write_silent", call::write, silent, store_status::unknown, 0},
+        answer_case{"write_outage", call::write, store::plain("503 Unavailable"), store_status::unknown, 0},
+        answer_case{"write_no_etag", call::write, store::plain("200 OK"), store_status::unknown, 0}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against a refusal to connect that is reported as a write that may have taken effect.
+TEST(store_client, write_without_connection_is_unavailable) {
+    test_loop loop;
+    socket_address nobody;
+    {
+        const raw_listener gone;
+        nobody = gone.address();
+    }
+    store_client client(loop.get(), nobody, short_limits());
+    std::optional<store_answer> answer;
+    client.write(document_key("drains"), "{}", {}, [&](const store_answer& it) { answer = it; });
+    ASSERT_TRUE(loop.run_until([&] { return answer.has_value(); }));
+    EXPECT_EQ(answer->status, store_status::unavailable);
+}
+
+// Guards against conditions that the store does not see: without them two operators could both win.
+TEST(store_client, write_names_the_expected_version) {
+    test_loop loop;
+    store server(loop.get(),
+                 {store::plain("200 OK", "ETag: \"1\"\r\n"), store::plain("200 OK", "ETag: \"2\"\r\n")});
+    store_client client(loop.get(), server.listener.address(), short_limits());
+    int done = 0;
+    client.write(document_key("drains"), "{}", {}, [&](const store_answer&) { ++done; });
+    ASSERT_TRUE(loop.run_until([&] { return done == 1; }));
+    client.write(document_key("drains"), "{}", document_version{1}, [&](const store_answer&) { ++done; });
+    ASSERT_TRUE(loop.run_until([&] { return done == 2; }));
+    EXPECT_NE(server.requests[0].find("PUT /v1/objects/drains"), std::string::npos);
+    EXPECT_NE(server.requests[0].find("If-None-Match: *"), std::string::npos);
+    EXPECT_NE(server.requests[1].find("If-Match: \"1\""), std::string::npos);
+}
+
+// Guards against background reads that use up the calls of operators.
+TEST(store_client, refuses_calls_over_the_budget_and_keeps_the_one_for_changes) {
+    test_loop loop;
+    store server(loop.get(), {});
+    store_client client(loop.get(), server.listener.address(), short_limits());
+    int done = 0;
+    for (int i = 0; i < 50; ++i) {
+        client.read(document_key("drains"), store_purpose::background, [&](const store_answer&) { ++done; });
+    }
+    client.read(document_key("drains"), store_purpose::change, [&](const store_answer&) { ++done; });
+    EXPECT_EQ(done, 0);
+    ASSERT_TRUE(loop.run_until([&] { return done == 51; }));
+    EXPECT_EQ(client.counts().over_budget, 30U);
+    EXPECT_EQ(client.counts().calls, 21U);
+}
+
+} // namespace
+} // namespace endivelever::http_test
--- /dev/null
+++ b/tests/unit/store_test.cpp
@@ -0,0 +1,69 @@
+#include "endivelever/store/call_budget.hpp"
+#include "endivelever/store/store_answer.hpp"
+
+#include <gtest/gtest.h>
+
+namespace endivelever {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct etag_case {
+    const char* name;
+    const char* text;
+    std::uint64_t version; ///< 0 if refused
+};
+
+class store_etag : public testing::TestWithParam<etag_case> {};
+
+// Guards against a version that is read from a damaged header.
+TEST_P(store_etag, is_parsed_strictly) {
+    EXPECT_EQ(parse_etag(GetParam().text).value_or(document_version{}).value, GetParam().version);
+}
+
+INSTANTIATE_TEST_SUITE_P(cases, store_etag,
+                         testing::Values(etag_case{"plain", "\"42\"", 42}, etag_case{"unquoted", "42", 0},
+                                         etag_case{"weak", "W/\"42\"", 0}, etag_case{"empty", "\"\"", 0},
+                                         etag_case{"zero", "\"0\"", 0}, etag_case{"negative", "\"-1\"", 0},
+                                         etag_case{"trailing", "\"42x\"", 0},
+                                         etag_case{"half_quoted", "\"42", 0},
+                                         etag_case{"too_large", "\"18446744073709551616\"", 0}),
+                         [](const auto& it) { return it.param.name; });
+
+// Guards against a burst of calls on a store that has just come back.
+TEST(call_budget, holds_in_every_second_also_after_a_long_pause) {
+    call_budget budget;
+    budget.calls_per_second = 5;
+    random_source random(7, 1);
+    std::deque<time_point> taken;
+    time_point now{100s};
+    for (int i = 0; i < 20'000; ++i) {
+        now += std::chrono::milliseconds(i % 1000 == 0 ? 60'000 : random_below(random, 60));
+        if (take_call(budget, now)) {
+            taken.push_back(now);
+        }
+        while (now - taken.front() >= 1s) {
+            taken.pop_front();
+        }
+        ASSERT_LE(taken.size(), 5U);
+    }
+    EXPECT_GT(budget.refused, 0U);
+}
+
+// Guards against members that return to the store in step, and against delays without bound.
+TEST(back_off, doubles_with_jitter_up_to_the_limit) {
+    random_source random(8, 1);
+    back_off state;
+    state.longest = 1s;
+    duration last{};
+    for (const auto step : {100ms, 200ms, 400ms, 800ms, 1000ms, 1000ms}) {
+        const auto delay = next_delay(state, random);
+        EXPECT_GE(delay, step / 2);
+        EXPECT_LE(delay, step);
+        EXPECT_NE(delay, last);
+        last = delay;
+    }
+}
+
+} // namespace
+} // namespace endivelever
