--- a/include/endivelever/decide/call_registry.hpp
+++ b/include/endivelever/decide/call_registry.hpp
@@ -5,7 +5,7 @@
 #include "endivelever/base/time.hpp"
 
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -15,11 +15,12 @@
 /// Parts of a call id "<vm>.<incarnation>.<generation>.<unique>"; the VM id may contain no dot.
 struct call_id_parts {
     vm_id vm;
-    incarnation life; ///< hexadecimal in the text
-    std::uint64_t generation = 0;
-    std::string unique; ///< 1 to 64 letters, digits, '-' or '_'
+    incarnation life;             ///< lower-case hexadecimal in the text, without leading zeros
+    std::uint64_t generation = 0; ///< decimal in the text, from 1
+    std::string unique;           ///< 1 to 64 letters, digits, '-' or '_'
 };
 
+/// Each id has exactly one spelling, because two spellings of one id would count as two calls.
 /// @return the parts, or error [call.1] naming what is wrong
 result<call_id_parts> parse_call_id(const call_id& id);
 
@@ -43,6 +44,9 @@
     std::vector<std::uint64_t> waiters; ///< arrivals that wait for the first one's response
 };
 
+/// Calls registered in one generation.
+using call_table = std::unordered_map<call_id, registered_call>;
+
 /// At-most-once registry of one entry's life. Bounded in calls and bytes of kept responses.
 struct call_registry {
     vm_id vm;
@@ -54,16 +58,17 @@
     std::size_t max_waiters = 16;
     byte_count max_kept_bytes{16'777'216};
     byte_count kept_bytes{};
-    std::unordered_map<call_id, registered_call> calls;
-    std::deque<std::pair<std::uint64_t, call_id>> by_generation; ///< for removal, oldest first
+    std::size_t registered = 0;                   ///< calls in all tables below
+    std::map<std::uint64_t, call_table> accepted; ///< by generation; expired ones are emptied step by step
+    call_table outlived; ///< calls that are still running although their generation has expired
 };
 
 enum class arrival_action {
     run,            ///< first arrival: this entry may dispatch it, once
     wait,           ///< the first arrival is running; its response will be passed on
     answer_done,    ///< finished; answer with the kept response
-    answer_not_run, ///< certainly not run (registry full, or ended before dispatch)
-    answer_unknown, ///< may have run
+    answer_not_run, ///< certainly not run: the registry is full
+    answer_unknown, ///< may have run: ended without a response, expired, or of another life
     forward,        ///< another entry is the home entry
     refuse_invalid  ///< malformed id, or reused for a different request
 };
@@ -71,19 +76,23 @@
 struct arrival {
     arrival_action action = arrival_action::refuse_invalid;
     vm_id home;                            ///< set for forward
-    const registered_call* call = nullptr; ///< set for answer_done
-    std::string reason;                    ///< set for refusals
+    const registered_call* call = nullptr; ///< set for answer_done; valid until the registry changes
+    std::string reason;                    ///< set for answer_not_run, answer_unknown and refuse_invalid
 };
 
-/// Advances the generation and forgets ids of generations that are no longer accepted.
+/// Advances the generation and forgets ids of generations that are no longer accepted. One call forgets a
+/// limited number of ids, because forgetting a full registry at once would hold up calls for milliseconds;
+/// ids that are still to be forgotten are answered as forgotten.
 void advance_generation(call_registry& registry, time_point now);
 
-/// Decides on an arriving call id and registers it if it is new here.
+/// Decides on an arriving call id and registers it if it is new here. Advances the generation first.
 /// @param waiter  number of this arrival, kept if the action is wait
 arrival register_arrival(call_registry& registry, const call_id& id, std::uint64_t fingerprint,
                          std::uint64_t waiter, time_point now);
 
-/// Records the end of a call. A call that ended not_run may be registered and run again under the same id.
+/// Records the end of a call; call it exactly once for each arrival with the action `run`. A call that
+/// ended not_run is forgotten at once, so that a flood of refused calls cannot fill the registry, and may be
+/// registered and run again under the same id. Ignored for a call that is not running.
 /// @return arrivals that wait for this response
 std::vector<std::uint64_t> finish_call(call_registry& registry, const call_id& id, call_outcome outcome,
                                        kept_response response);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -25,6 +25,8 @@
 constexpr double shortest_latency_ms = 0.01;
 /// An entry forgets call ids after two generations of 5 minutes; a call must end before that.
 constexpr double longest_deadline_ms = 300'000;
+/// A call id prefix from an address response is accepted for at least 5 minutes after it was issued.
+constexpr double longest_address_keep_ms = 120'000;
 
 operator_settings read_operator(object_reader& in) {
     operator_settings out;
@@ -87,7 +89,7 @@
     out.when_isolated =
         in.choice("when_isolated", detail::isolation_names, std::optional(isolation_policy::refuse));
     out.graceful_stop_limit = in.milliseconds("graceful_stop_limit_ms", {0, hour_ms}, 30'000);
-    out.address_keep = in.milliseconds("address_keep_ms", {100, hour_ms}, 10'000);
+    out.address_keep = in.milliseconds("address_keep_ms", {100, longest_address_keep_ms}, 10'000);
     out.limits = read_limits(in.object("limits"));
     out.operators = in.list("operators", {1, max_operators}, read_operator);
     out.services = in.list("services", {1, max_services}, read_service);
--- a/tests/unit/config_test.cpp
+++ b/tests/unit/config_test.cpp
@@ -131,6 +131,7 @@
         bad_value{"long_deadline", "/kinds/1/max_deadline_ms", 300'001, 7, "a number from 0.01 to 300000.0"},
         bad_value{"no_target", "/kinds/1/latency_target_ms", 0, 7, "/kinds/1/latency_target_ms"},
         bad_value{"flag_as_text", "/kinds/1/idempotent", "no", 7, "allowed is true or false"},
+        bad_value{"long_keep", "/address_keep_ms", 120'001, 7, "/address_keep_ms"},
         bad_value{"bad_level", "/log_level", "loud", 7, "/log_level"}),
     case_name);
 
