--- a/bench/testbed/process.hpp
+++ b/bench/testbed/process.hpp
@@ -20,6 +20,8 @@
 /// started it ends, so a test that crashes leaves nothing behind.
 class process {
   public:
+    /// No process.
+    process() = default;
     /// @return the process, or error [testbed.N] if it cannot be started
     static result<process> start(const process_spec& spec);
     ~process();
