--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,8 +2,8 @@
 
 #include "deferred_call.hpp"
 #include "endivelever/net/event_loop.hpp"
+#include "endivelever/net/socket_endpoint.hpp"
 #include "http_exchange.hpp"
-#include "listen_socket.hpp"
 
 #include <array>
 #include <sys/epoll.h>
@@ -151,7 +151,7 @@
 }
 
 error http_server::state::start(int listen_fd) {
-    port = detail::bound_port(listen_fd);
+    port = bound_port(listen_fd);
     hangup_fd = epoll_create1(EPOLL_CLOEXEC);
     const auto idle_s = std::chrono::duration_cast<std::chrono::seconds>(core.opts.idle_timeout).count();
     daemon = MHD_start_daemon(
@@ -216,7 +216,7 @@
     it->loop = loop;
     it->core.opts = opts;
     it->core.callbacks = std::move(callbacks);
-    const auto listen_fd = detail::open_listen_socket(address);
+    const auto listen_fd = listen_on(address);
     if (!listen_fd) {
         return tl::unexpected<error>(listen_fd.error());
     }
