--- a/bench/testbed/cluster.cpp
+++ b/bench/testbed/cluster.cpp
@@ -42,9 +42,9 @@
     std::vector<listed_entry> picked;
     std::vector<listed_entry> left = all;
     while (picked.size() < wanted && !left.empty()) {
-        std::set<failure_domain> used;
+        std::set<std::string> used;
         std::erase_if(left, [&](const auto& it) {
-            const bool take = picked.size() < wanted && used.insert(it.failure_domain).second;
+            const bool take = picked.size() < wanted && used.insert(it.failure_domain.text).second;
             if (take) {
                 picked.push_back(it);
             }
