--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -35,15 +35,24 @@
            kind.queued_bytes.value + call.held.value <= kind.rule.queue_bytes.value;
 }
 
-/// Time before its deadline at which a waiting call is given up, since its answer would come too late.
-duration least_time_left(const kind_admission& kind, const waiting_call& call) {
-    return std::min(expected_latency(kind), (call.deadline - call.arrived) / max_time_left_divisor);
+time_point limited_by_rule(const kind_admission& kind, const waiting_call& call, time_point expiry) {
+    const auto limit = kind.rule.max_queue_delay;
+    return limit > duration::zero() ? std::min(expiry, call.arrived + limit) : expiry;
+}
+
+duration longest_time_left(const waiting_call& call) {
+    return (call.deadline - call.arrived) / max_time_left_divisor;
 }
 
+/// Time at which a waiting call is given up, since its answer would come after its deadline.
 time_point expiry_of(const kind_admission& kind, const waiting_call& call) {
-    const auto by_deadline = call.deadline - least_time_left(kind, call);
-    const auto limit = kind.rule.max_queue_delay;
-    return limit > duration::zero() ? std::min(by_deadline, call.arrived + limit) : by_deadline;
+    const auto time_left = std::min(expected_latency(kind), longest_time_left(call));
+    return limited_by_rule(kind, call, call.deadline - time_left);
+}
+
+/// Bound on expiry_of() that holds for any later latency estimate.
+time_point earliest_expiry(const kind_admission& kind, const waiting_call& call) {
+    return limited_by_rule(kind, call, call.deadline - longest_time_left(call));
 }
 
 duration expected_wait(const service_admission& admission, const kind_admission& kind) {
@@ -184,7 +193,8 @@
     if (early != refusal::none) {
         return early;
     }
-    kind.next_deadline = kind.queue.empty() ? expiry : std::min(kind.next_deadline, expiry);
+    const auto earliest = detail::earliest_expiry(kind, call);
+    kind.next_deadline = kind.queue.empty() ? earliest : std::min(kind.next_deadline, earliest);
     kind.queue.push_back(call);
     kind.queued_bytes.value += call.held.value;
     return refusal::none;
@@ -224,7 +234,7 @@
         const auto is_waiting = [&](const waiting_call& call) {
             const auto expiry = detail::expiry_of(kind, call);
             if (expiry > now) {
-                kind.next_deadline = std::min(kind.next_deadline, expiry);
+                kind.next_deadline = std::min(kind.next_deadline, detail::earliest_expiry(kind, call));
             }
             return expiry > now;
         };
--- a/src/decide/retry.cpp
+++ b/src/decide/retry.cpp
@@ -8,6 +8,9 @@
 // A retry that cannot be answered within this time only adds load.
 constexpr duration min_deadline_left = std::chrono::milliseconds(1);
 
+// Retries of earlier hops come in bursts; a debt that is cut off would be repaid by no one.
+constexpr double max_debt_factor = 10.0;
+
 bool is_safe_to_repeat(const failed_attempt& attempt) {
     if (attempt.response_started || !attempt.body_replayable) {
         return false;
@@ -19,7 +22,8 @@
 
 void note_first_attempt(retry_budget& budget, double ratio, std::uint32_t caller_attempt) {
     const double change = caller_attempt > 0 ? -1.0 : std::clamp(ratio, 0.0, 1.0);
-    budget.tokens = std::clamp(budget.tokens + change, -budget.max_tokens, budget.max_tokens);
+    budget.tokens =
+        std::clamp(budget.tokens + change, detail::max_debt_factor * -budget.max_tokens, budget.max_tokens);
 }
 
 bool allow_retry(retry_budget& budget, const failed_attempt& attempt) {
--- a/src/decide/server_view.cpp
+++ b/src/decide/server_view.cpp
@@ -29,6 +29,8 @@
     }
     server_view fresh;
     fresh.warm_since = now;
+    // A server that the list drops and names again must not be probed at once each time.
+    fresh.last_probe = now;
     return fresh;
 }
 
--- a/tests/unit/decide_admission_test.cpp
+++ b/tests/unit/decide_admission_test.cpp
@@ -103,6 +103,73 @@
     EXPECT_FALSE(take_next(admission, start + 10ms));
 }
 
+struct window_case {
+    const char* name;
+    std::uint32_t queued; ///< at a server with 4 slots
+    bool shed;
+    bool low_grows;
+    bool urgent_grows;
+};
+
+class window_by_rank : public testing::TestWithParam<window_case> {};
+
+// Guards against low-rank work that keeps filling the servers' queues while urgent work waits in them, and
+// against windows without bound.
+TEST_P(window_by_rank, follows_the_reported_queue) {
+    auto admission = two_kinds();
+    const double before = admission.kinds[0].window;
+    enqueue(admission, call_of(1, 0), start);
+    enqueue(admission, call_of(2, 1), start);
+    for (int i = 0; i < 1000; ++i) {
+        const admission_feedback feedback{.shed = GetParam().shed,
+                                          .latency = 5ms,
+                                          .report =
+                                              load_report{.queued = GetParam().queued, .service_time = 5ms},
+                                          .server_slots = 4};
+        note_finished(admission, 1, feedback, start + i * 1ms);
+    }
+    EXPECT_EQ(admission.kinds[0].window > before, GetParam().low_grows);
+    EXPECT_EQ(admission.kinds[1].window > before, GetParam().urgent_grows);
+    EXPECT_LE(admission.kinds[1].window, 3.0 * 16);
+    EXPECT_GT(admission.kinds[0].window, 0.0);
+}
+
+INSTANTIATE_TEST_SUITE_P(reports, window_by_rank,
+                         testing::Values(window_case{"idle", 0, false, true, true},
+                                         window_case{"short_queue", 3, false, false, true},
+                                         window_case{"long_queue", 8, false, false, false},
+                                         window_case{"shed", 0, true, false, false}),
+                         [](const auto& it) { return it.param.name; });
+
+// Guards against an overload that is remembered for good by an entry without calls in progress.
+TEST(window_recovery, old_signals_are_forgotten) {
+    auto admission = two_kinds();
+    for (int i = 0; i < 100; ++i) {
+        note_finished(admission, 0, {.shed = true, .latency = 5ms}, start);
+    }
+    EXPECT_LT(admission.kinds[0].window, 1.0);
+    enqueue(admission, call_of(1, 0, start + 60ms), start + 60ms);
+    EXPECT_TRUE(take_next(admission, start + 60ms));
+    EXPECT_GE(admission.kinds[0].window, 1.0);
+}
+
+// Guards against calls that wait in a queue that cannot serve them before their deadline.
+TEST(early_refusal, counts_the_calls_ahead) {
+    auto admission = two_kinds();
+    admission.kinds[0].rule.queue_items = 1000;
+    admission.kinds[0].rule.guaranteed_share = 0.0;
+    admission.kinds[0].window = 1.0;
+    admission.kinds[0].rule.queue_bytes = {100000};
+    call_number accepted = 0;
+    while (accepted < 1000 &&
+           enqueue(admission, call_of(accepted, 0, start, 100ms), start) == refusal::none) {
+        ++accepted;
+    }
+    // One call at a time of 5 ms each: 20 fit into 100 ms.
+    EXPECT_GE(accepted, 10U);
+    EXPECT_LE(accepted, 20U);
+}
+
 // Guards against a kind that loses its guaranteed share to another kind's calls in progress.
 TEST(guaranteed_share, is_kept_while_another_kind_floods) {
     auto admission = two_kinds();
