--- a/tests/fuzz/decide_admission_fuzz.cpp
+++ b/tests/fuzz/decide_admission_fuzz.cpp
@@ -98,7 +98,7 @@
         }
     }
     for (const auto& [number, call] : w.waiting) {
-        RC_ASSERT(call.kind != taken.kind || number > taken.call || !is_live(w, call));
+        RC_ASSERT((call.kind != taken.kind || number > taken.call || !is_live(w, call)));
     }
 }
 
@@ -132,7 +132,7 @@
     for (std::size_t i = 0; i < kinds; ++i) {
         const auto& it = w.admission.kinds[i];
         const double share = it.rule.guaranteed_share * slots * it.demand_fraction;
-        RC_ASSERT(it.in_progress >= std::floor(share) || !has_live_call(w, i));
+        RC_ASSERT((it.in_progress >= std::floor(share) || !has_live_call(w, i)));
     }
 }
 
@@ -169,7 +169,7 @@
         RC_ASSERT(it.in_progress == running);
         RC_ASSERT(it.queue.size() + it.expired.size() == waiting_of(w, i));
         RC_ASSERT(it.queued_bytes == bytes_of(w, i));
-        RC_ASSERT(it.window > 0.0 && it.window <= 3.0 * slots);
+        RC_ASSERT((it.window > 0.0 && it.window <= 3.0 * slots));
     }
 }
 
--- a/tests/fuzz/decide_retry_fuzz.cpp
+++ b/tests/fuzz/decide_retry_fuzz.cpp
@@ -34,9 +34,9 @@
                                          .deadline_left = 100ms};
             if (allow_retry(budget, attempt)) {
                 ++retries;
-                RC_ASSERT(attempt.certainly_not_run || attempt.idempotent);
-                RC_ASSERT(!attempt.response_started && attempt.body_replayable);
-                RC_ASSERT(attempt.caller_attempt == 0U && attempt.attempts < max_attempts);
+                RC_ASSERT((attempt.certainly_not_run || attempt.idempotent));
+                RC_ASSERT((!attempt.response_started && attempt.body_replayable));
+                RC_ASSERT((attempt.caller_attempt == 0U && attempt.attempts < max_attempts));
             }
             RC_ASSERT(retries <= budget.max_tokens + ratio * firsts + 1e-6);
         }
--- a/tests/fuzz/decide_server_fuzz.cpp
+++ b/tests/fuzz/decide_server_fuzz.cpp
@@ -88,7 +88,7 @@
         any = any || (available && it.in_flight.size() < it.connection_share);
     }
     const auto chosen = choose_server(w.pool, excluded, w.now, w.random);
-    RC_ASSERT(chosen || !any);
+    RC_ASSERT((chosen || !any));
     if (!chosen) {
         return;
     }
@@ -96,7 +96,7 @@
     RC_ASSERT(!must_not_be_chosen(w, view));
     RC_ASSERT(std::count(excluded.begin(), excluded.end(), view.listed.id) == 0);
     RC_ASSERT(view.in_flight.size() < 3U);
-    RC_ASSERT(view.state != server_state::ejected || 2 * usable < staying);
+    RC_ASSERT((view.state != server_state::ejected || 2 * usable < staying));
     note_dispatch(view, w.now);
     w.open.push_back({view.listed.id, w.now});
 }
@@ -129,7 +129,7 @@
     while (const auto next = next_probe(w.pool, probe_rate, w.now, w.random)) {
         const auto& id = w.pool.servers[*next].listed.id;
         const auto last = w.probed.find(id);
-        RC_ASSERT(last == w.probed.end() || w.now - last->second >= 1000ms * entries / 10);
+        RC_ASSERT((last == w.probed.end() || w.now - last->second >= 1000ms * entries / 10));
         w.probed[id] = w.now;
     }
 }
@@ -145,7 +145,7 @@
                                         [&](const auto& call) { return call.server == it.listed.id; });
         RC_ASSERT(it.in_flight.size() == static_cast<std::size_t>(open));
         RC_ASSERT(std::is_sorted(it.in_flight.begin(), it.in_flight.end()));
-        RC_ASSERT(it.failure_ratio >= 0.0 && it.failure_ratio <= 1.0);
+        RC_ASSERT((it.failure_ratio >= 0.0 && it.failure_ratio <= 1.0));
     }
 }
 
