--- a/bench/micro/policy_model.cpp
+++ b/bench/micro/policy_model.cpp
@@ -285,6 +285,7 @@
 
 void report(benchmark::State& state, const model_setup& setup) {
     model m{.setup = setup};
+    m.random.seed(static_cast<std::uint64_t>(state.range(0)));
     for ([[maybe_unused]] auto _ : state) {
         run(m);
     }
@@ -317,9 +318,10 @@
             setup.subset = subset;
             const auto full =
                 "model_choice/" + name + "/" + policy_names[policy] + "/subset:" + std::to_string(subset);
-            benchmark::RegisterBenchmark(full.c_str(), [setup](benchmark::State& s) {
-                report(s, setup);
-            })->Iterations(1);
+            benchmark::RegisterBenchmark(full.c_str(), [setup](benchmark::State& s) { report(s, setup); })
+                ->ArgName("seed")
+                ->DenseRange(1, 5)
+                ->Iterations(1);
         }
     }
 }
@@ -329,9 +331,10 @@
         setup.admission = policy;
         const auto full =
             "model_admission/" + name + (policy == admission_policy::fifo ? "/fifo" : "/ranked");
-        benchmark::RegisterBenchmark(full.c_str(), [setup](benchmark::State& s) {
-            report(s, setup);
-        })->Iterations(1);
+        benchmark::RegisterBenchmark(full.c_str(), [setup](benchmark::State& s) { report(s, setup); })
+            ->ArgName("seed")
+            ->DenseRange(1, 5)
+            ->Iterations(1);
     }
 }
 
