--- a/bench/experiments/main.cpp
+++ b/bench/experiments/main.cpp
@@ -1,5 +1,8 @@
 #include "endivelever/base/log.hpp"
+#include "experiments/admission.hpp"
+#include "experiments/choice.hpp"
 #include "experiments/experiment.hpp"
+#include "experiments/nodes.hpp"
 
 #include <docopt/docopt.h>
 #include <exception>
@@ -22,6 +25,10 @@
   demo           calls of every kind on both example deployments; exit code 0 if every outcome was right
   added-latency  latency added by the balancer, calls per entry core, memory per open call
   startup        process start to first served call
+  shift, straggler, measuring, retry-storm                     choice of servers
+  flood-low, flood-urgent, rank                                admission
+  preset-spread, store-load, drain, rolling-replace,
+  entry-death, at-most-once                                    entry VMs together
   all            every experiment except the demo
 
 Options:
@@ -38,7 +45,20 @@
 
 const std::vector<named_experiment>& all_experiments() {
     static const std::vector<named_experiment> list{{"added-latency", experiments::run_added_latency},
-                                                    {"startup", experiments::run_startup}};
+                                                    {"startup", experiments::run_startup},
+                                                    {"shift", experiments::run_shift},
+                                                    {"straggler", experiments::run_straggler},
+                                                    {"measuring", experiments::run_measuring},
+                                                    {"retry-storm", experiments::run_retry_storm},
+                                                    {"flood-low", experiments::run_flood_low},
+                                                    {"flood-urgent", experiments::run_flood_urgent},
+                                                    {"rank", experiments::run_rank},
+                                                    {"preset-spread", experiments::run_preset_spread},
+                                                    {"store-load", experiments::run_store_load},
+                                                    {"drain", experiments::run_drain},
+                                                    {"rolling-replace", experiments::run_rolling_replace},
+                                                    {"entry-death", experiments::run_entry_death},
+                                                    {"at-most-once", experiments::run_at_most_once}};
     return list;
 }
 
--- a/tests/failure/drain_failure_test.cpp
+++ b/tests/failure/drain_failure_test.cpp
@@ -14,11 +14,7 @@
 /// Calls that a server has received so far.
 std::uint64_t received_by(cluster& it, const server_id& server) {
     const auto reply = call_http(it.servers_control(), "GET", "/fake/counts");
-    return nlohmann::json::parse(reply.body)
-        .at("servers")
-        .at(server.text)
-        .at("received")
-        .get<std::uint64_t>();
+    return nlohmann::json::parse(reply.body).at(server.text).at("received").get<std::uint64_t>();
 }
 
 struct drain_case {
