--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -11,6 +11,7 @@
 
 constexpr long max_cached_connections = 8192;
 constexpr std::size_t max_idle_handles = 1024;
+constexpr duration longest_check_gap = std::chrono::milliseconds(50);
 constexpr duration progress_check_interval = std::chrono::milliseconds(10);
 
 } // namespace
@@ -196,6 +197,7 @@
         it.added = true;
         curl_multi_add_handle(multi, it.easy);
         if (it.request.progress_timeout > duration::zero() && !progress_check->active()) {
+            last_progress_check = boot_clock::now();
             progress_check->start(progress_check_interval, progress_check_interval);
         }
     }
@@ -276,6 +278,8 @@
 
 void client_core::check_progress() {
     const auto now = boot_clock::now();
+    // Data that arrived during a pause of this process is still unread.
+    const bool paused = now - std::exchange(last_progress_check, now) > longest_check_gap;
     std::vector<transfer_id> stalled;
     bool limited = false;
     for (const auto& entry : transfers) {
@@ -285,7 +289,7 @@
             continue;
         }
         limited = true;
-        if (it.added && !it.paused && now - it.last_progress > limit) {
+        if (!paused && it.added && !it.paused && now - it.last_progress > limit) {
             stalled.push_back(entry.first);
         }
     }
--- a/src/net/http_client_core.hpp
+++ b/src/net/http_client_core.hpp
@@ -33,6 +33,7 @@
     std::vector<transfer_id> to_cancel;
     std::vector<CURL*> idle_handles;
     transfer_id last_id = 0;
+    time_point last_progress_check{};
     bool timeout_due = false;
 
     client_core(struct ev_loop* event_loop, std::uint32_t max_connections_per_address);
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -54,6 +54,9 @@
 size_t on_header(char* buf, size_t size, size_t count, void* data) {
     auto& it = transfer_of(data);
     const std::string_view line(buf, size * count);
+    if (it.cancelled) {
+        return 0;
+    }
     it.last_progress = boot_clock::now();
     if (it.head_done) {
         return line.size(); // trailers
