--- a/include/endivelever/entry/board.hpp
+++ b/include/endivelever/entry/board.hpp
@@ -44,6 +44,7 @@
     span_ring spans;
     std::unordered_map<call_number, std::unique_ptr<call>> calls;
     call_number last_call = 0;
+    time_point last_review{};
     bool stopping = false;
     time_point stop_began{};
 
--- a/src/entry/dispatch.cpp
+++ b/src/entry/dispatch.cpp
@@ -10,8 +10,9 @@
 namespace {
 
 constexpr duration retry_hint = std::chrono::milliseconds(500);
-constexpr duration min_progress_timeout = std::chrono::milliseconds(100);
-constexpr int progress_factor = 8;
+constexpr duration min_progress_timeout = std::chrono::milliseconds(250);
+constexpr int latency_factor = 8;
+constexpr int target_factor = 4;
 
 refusal_notice notice_of(refusal why) {
     switch (why) {
@@ -27,13 +28,14 @@
     return {.status = 503, .id = 4, .text = "no preset is in force here", .retry_after = retry_hint};
 }
 
-/// Longest silence of a server before a call that may be repeated is tried elsewhere.
-duration progress_limit(const call& it, const server_pool& pool) {
-    if (!it.route->kind.idempotent || it.forwarded) {
-        return duration::zero();
-    }
-    return std::max(
-        {min_progress_timeout, pool.latency_estimate * progress_factor, it.route->kind.latency_target * 2});
+/// Longest silence of a server before a call that may be repeated is tried elsewhere. Only the first attempt
+/// is cut short, so that a pool that is slow as a whole still answers.
+duration progress_limit(const call& it, const service_state& service, time_point now) {
+    const bool may_repeat = it.route->kind.idempotent && !it.forwarded && it.body_ended && it.attempts == 1;
+    const auto limit = std::max({min_progress_timeout, service.pool.latency_estimate * latency_factor,
+                                 it.route->kind.latency_target * target_factor});
+    const bool worthwhile = service.retries.tokens >= 1.0 && it.deadline - now > 2 * limit;
+    return may_repeat && worthwhile ? limit : duration::zero();
 }
 
 read_state read_body(call& it, char* buf, std::size_t size, std::size_t& count) {
@@ -66,7 +68,7 @@
     request.headers = detail::request_headers(it, now);
     request.timeout = it.deadline - now;
     request.connect_timeout = std::min<duration>(std::chrono::seconds(1), request.timeout);
-    request.progress_timeout = progress_limit(it, board.services[it.route->service].pool);
+    request.progress_timeout = progress_limit(it, board.services[it.route->service], now);
     it.streams_body = !it.body_ended;
     request.has_body = it.streams_body || !it.body.empty();
     request.content_length = it.exchange->content_length();
