--- a/src/entry/upkeep.cpp
+++ b/src/entry/upkeep.cpp
@@ -4,6 +4,7 @@
 namespace endivelever {
 namespace {
 
+constexpr duration longest_review_gap = std::chrono::milliseconds(20);
 constexpr duration probe_timeout = std::chrono::milliseconds(500);
 constexpr byte_count max_probe_body{4096};
 
@@ -66,9 +67,14 @@
 void review_calls(entry_board& board) {
     const auto now = boot_clock::now();
     advance_generation(board.registry, now);
+    // After a pause of this process, responses that have arrived are still unread; the age of the calls
+    // then says nothing about the servers.
+    const bool paused = now - std::exchange(board.last_review, now) > longest_review_gap;
     for (std::size_t i = 0; i < board.services.size(); ++i) {
         auto& service = board.services[i];
-        review_servers(service.pool, now);
+        if (!paused) {
+            review_servers(service.pool, now);
+        }
         end_expired_in_queue(board, service, now);
         pump(board, i);
     }
