Wait until every entry serves before a testbed counts as ready

Change: readiness also needs one served call from each entry; the demo prints the refusal text of a wrong outcome.

Conclusion: the gap between address answer and first lease remains for callers of a starting entry; it belongs to the entry.

--- a/bench/experiments/demo.cpp
+++ b/bench/experiments/demo.cpp
@@ -77,8 +77,11 @@
     return call.status == 200 && call.outcome == "done" && call.body_right;
 }
 
+/// Outcome and status, and the refusal of the entry if there is one.
 std::string describe(const demo_call& call) {
-    return call.outcome + " " + std::to_string(call.status);
+    const auto text = call.outcome + " " + std::to_string(call.status);
+    const auto refusal = nlohmann::json::parse(call.body, nullptr, false);
+    return refusal.is_object() ? text + " " + refusal.value("error", "") : text;
 }
 
 void call_every_kind(demo_run& run, const std::string& step) {
--- a/bench/testbed/cluster.cpp
+++ b/bench/testbed/cluster.cpp
@@ -291,9 +291,22 @@
     if (done && !wait_until(all_named, detail::ready_limit)) {
         return fail("testbed", 10, "an entry does not name the others");
     }
+    for (std::size_t i = 0; i < m_vms.size() && done; ++i) {
+        if (!wait_until([this, i] { return serves(i); }, detail::ready_limit)) {
+            return fail("testbed", 11, m_vms[i].config.vm.text + ": entry does not serve");
+        }
+    }
     return done;
 }
 
+bool cluster::serves(std::size_t index) {
+    const auto& config = m_vms[index].config;
+    const auto kind =
+        std::find_if(config.kinds.begin(), config.kinds.end(), [](const auto& it) { return it.idempotent; });
+    return kind != config.kinds.end() &&
+           succeeded(call_http(config.caller_address, "GET", kind->path_prefix + "ready"));
+}
+
 std::uint64_t cluster::applied_version(std::size_t index) {
     const auto reply = call_http(m_vms[index].config.caller_address, "GET", detail::addresses_path, "", {},
                                  detail::probe_timeout);
--- a/bench/testbed/cluster.hpp
+++ b/bench/testbed/cluster.hpp
@@ -76,6 +76,8 @@
     std::uint64_t applied_version(std::size_t index);
     /// @return number of addresses in an entry's address answer, 0 if it does not serve
     std::size_t named_addresses(std::size_t index);
+    /// Sends one idempotent call straight to an entry, which also needs a lease to serve it.
+    bool serves(std::size_t index);
     /// Waits until all entries apply at least this version.
     bool wait_applied(std::uint64_t version, duration limit);
 
