--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -42,11 +42,12 @@
     gauges["open_calls"] = static_cast<double>(board.calls.size());
     gauges["preset_version"] = static_cast<double>(board.applied.value);
     for (const auto& it : board.routes) {
-        const auto label = "kind=\"" + it.kind.id.text + "\",quantile=\"";
         for (const double quantile : {0.5, 0.99}) {
-            const auto text = std::string(quantile > 0.9 ? "0.99" : "0.5") + "\"}";
-            gauges["latency_ms{" + label + text] = to_milliseconds(value_at(it.latency, quantile));
-            gauges["added_ms{" + label + text] = to_milliseconds(value_at(it.added, quantile));
+            std::string label = "{kind=\"";
+            label += it.kind.id.text;
+            label += quantile > 0.9 ? "\",quantile=\"0.99\"}" : "\",quantile=\"0.5\"}";
+            gauges["latency_ms" + label] = to_milliseconds(value_at(it.latency, quantile));
+            gauges["added_ms" + label] = to_milliseconds(value_at(it.added, quantile));
         }
         gauges["demand{kind=\"" + it.kind.id.text + "\"}"] = it.demand;
     }
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -15,6 +15,11 @@
 /// Time in which calls that were on the way when the stop began arrive on open connections.
 constexpr duration stop_linger = std::chrono::milliseconds(500);
 
+/// @return the address with the port that is bound; it differs if the settings name port 0
+socket_address with_port(const socket_address& address, std::uint16_t port) {
+    return socket_address(address.text.substr(0, address.text.rfind(':') + 1) + std::to_string(port));
+}
+
 } // namespace
 
 struct entry_process::state {
@@ -42,11 +47,13 @@
         return tl::unexpected<error>(callers.error());
     }
     board.callers = std::move(*callers);
+    board.conf.caller_address = with_port(conf.caller_address, board.callers->port());
     auto admin = http_server::open(board.loop, conf.admin_address, {}, admin_handlers(board));
     if (!admin) {
         return tl::unexpected<error>(admin.error());
     }
     board.admin = std::move(*admin);
+    board.conf.admin_address = with_port(conf.admin_address, board.admin->port());
     return {};
 }
 
