--- a/include/endivelever/control/control_board.hpp
+++ b/include/endivelever/control/control_board.hpp
@@ -68,7 +68,8 @@
     vm_list listed;
     std::vector<vm_id> listed_live; ///< entry VMs of the last VM list that are not leaving
     drain_list drains;
-    std::deque<audit_record> audit; ///< newest first, at most max_audit_records
+    std::deque<audit_record> audit;        ///< newest first, at most max_audit_records
+    std::deque<audit_record> unknown_keys; ///< refused requests without a known key, as `audit`
     counter_table counters;
     link_counts links;
     random_source random;
--- a/src/control/reports.cpp
+++ b/src/control/reports.cpp
@@ -81,6 +81,15 @@
     return sources;
 }
 
+json audit_json(const std::deque<audit_record>& ring) {
+    auto records = json::array();
+    for (const auto& it : ring) {
+        records.push_back(
+            {{"when_us", it.when_us}, {"who", it.who.text}, {"what", it.what}, {"outcome", it.outcome}});
+    }
+    return records;
+}
+
 std::uint64_t demand_of(const control_board& board, std::size_t kind, time_point now) {
     std::uint64_t sum = 0;
     for (const auto& record : serving_members(board.members, now)) {
@@ -216,11 +225,6 @@
 }
 
 std::string audit_body(const control_board& board) {
-    auto records = detail::json::array();
-    for (const auto& it : board.audit) {
-        records.push_back(
-            {{"when_us", it.when_us}, {"who", it.who.text}, {"what", it.what}, {"outcome", it.outcome}});
-    }
     auto changes = detail::json::array();
     if (board.in_force) {
         for (const auto& it : board.in_force->history) {
@@ -231,7 +235,10 @@
                                {"when_us", it.when_us}});
         }
     }
-    return detail::json{{"records", records}, {"changes", changes}}.dump();
+    return detail::json{{"records", detail::audit_json(board.audit)},
+                        {"unknown_keys", detail::audit_json(board.unknown_keys)},
+                        {"changes", changes}}
+        .dump();
 }
 
 std::string metrics_body(const control& it, time_point now) {
--- a/src/control/store_watch.cpp
+++ b/src/control/store_watch.cpp
@@ -13,6 +13,8 @@
 // Pause after an answer that brought nothing new, so that a store that answers watches at once is not
 // flooded.
 constexpr auto quiet_delay = std::chrono::milliseconds(500);
+// An absent document cannot be watched. Its first version also arrives from the control that creates it.
+constexpr auto absent_delay = std::chrono::seconds(2);
 
 duration poll_delay(control_board& board) {
     return shortest_poll + from_milliseconds(poll_spread_ms * random_unit(board.random));
@@ -22,6 +24,9 @@
     if (!board.watcher) {
         return poll_delay(board);
     }
+    if (answer.status == store_status::absent) {
+        return with_jitter(absent_delay, board.random);
+    }
     const bool waited = answer.status == store_status::unchanged;
     return newer || waited ? duration::zero() : with_jitter(quiet_delay, board.random);
 }
--- a/tests/contract/control_test.cpp
+++ b/tests/contract/control_test.cpp
@@ -163,6 +163,30 @@
     })) << status.dump();
 }
 
+// Guards against a switch that waits for the next heartbeat: this peer never sends one.
+TEST(control, a_new_document_is_pushed_to_controls_at_once) {
+    world it;
+    it.start_all();
+    link_counts counts;
+    document_version pushed;
+    std::unique_ptr<frame_link> peer;
+    frame_link::handlers on;
+    on.on_ready = [&] {
+        peer->send(
+            hello_message{vm_id("vm-09"), process_role::control, {1}, failure_domain("d9"), "", "", ""});
+    };
+    on.on_message = [&](const message& value) {
+        const auto* document = std::get_if<document_message>(&value);
+        pushed = document != nullptr && document->key == in_force_key ? document->version : pushed;
+    };
+    on.on_closed = [](const std::string&) {};
+    peer = frame_link::connect(it.loop.get(), it.configs[1].feed_address, it.configs[1].cluster_key,
+                               std::move(on), counts);
+    ASSERT_TRUE(it.loop.run_until([&] { return counts.frames_received > 1; }));
+    it.put_in_force("ordinary");
+    EXPECT_TRUE(it.loop.run_until([&] { return pushed.value == 1; }));
+}
+
 // Guards against two operators who both believe that their preset is in force.
 TEST(control, one_of_two_racing_operators_wins_and_the_other_is_told_who) {
     world it;
@@ -242,6 +266,19 @@
     EXPECT_TRUE(it.platform->store().objects.count("preset/in-force") == 0);
 }
 
+// Guards against a flood of requests with unknown keys that removes changes from the audit.
+TEST(control, keeps_changes_in_the_audit_under_a_flood_of_unknown_keys) {
+    world it;
+    it.start(0);
+    it.call(0, "POST", "/v1/drains", {{"draining", true}});
+    for (std::size_t i = 0; i < max_audit_records + 1; ++i) {
+        ASSERT_EQ(it.call(0, "GET", "/v1/status", nullptr, "unknown").status, 401U);
+    }
+    const auto audit = it.call(0, "GET", "/v1/audit").body;
+    EXPECT_EQ(audit["records"][0]["who"], "day-shift");
+    EXPECT_EQ(audit["unknown_keys"].size(), max_audit_records);
+}
+
 // Guards against a drain that is lost between two operators, and a server drain that entries do not learn.
 TEST(control, keeps_drains_of_two_operators) {
     world it;
@@ -298,6 +335,8 @@
                                  R"({"name":"a","operation_id":"b"})", day_key, 400},
                     refusal_case{"bad_preset", "PUT", "/v1/presets/x", R"({"name":"x"})", day_key, 400},
                     refusal_case{"no_server", "POST", "/v1/drains", R"({"draining":true})", day_key, 400},
+                    refusal_case{"other_name", "PUT", "/v1/presets/x", R"({"name":"y","kinds":[]})", day_key,
+                                 400},
                     refusal_case{"unknown_path", "GET", "/v1/else", "", day_key, 404}),
     [](const auto& it) { return it.param.name; });
 
