Show errors at level info, refuse queued calls after the lease, carry retries over hops

Cause: easylogging++ ranks Info above Error in its hierarchy, so level info hid errors; a call that waited while its entry was paused was dispatched under an expired lease; an entry named itself in address responses before it had a lease; retries of several hops could multiply, since no header told of them. Change: levels are enabled one by one; dispatch checks the lease; address responses leave out an entry without a lease; the header Endivelever-Retries carries the retries of earlier hops.

--- a/bench/capacity/slope.cpp
+++ b/bench/capacity/slope.cpp
@@ -62,6 +62,7 @@
 double processor_us(const std::function<void()>& work) {
     work();
     std::vector<double> means;
+    means.reserve(batches);
     for (int i = 0; i < batches; ++i) {
         means.push_back(batch_mean_us(work));
     }
--- a/include/endivelever/base/strong_id.hpp
+++ b/include/endivelever/base/strong_id.hpp
@@ -18,7 +18,9 @@
     explicit strong_id(std::string value) : text(std::move(value)) {}
 
     [[nodiscard]] bool empty() const { return text.empty(); }
-    auto operator<=>(const strong_id&) const = default;
+    bool operator==(const strong_id&) const = default;
+    // Written out because clang-tidy 14 reports the defaulted operator wherever a map instantiates it.
+    std::strong_ordering operator<=>(const strong_id& other) const { return text <=> other.text; }
 };
 
 template <typename Tag>
--- a/include/endivelever/entry/call.hpp
+++ b/include/endivelever/entry/call.hpp
@@ -64,6 +64,7 @@
     bool in_progress = false;  ///< counted as in progress by admission
 
     std::uint32_t attempts = 0;
+    std::uint32_t caller_retries = 0; ///< retries by hops before this one, from Endivelever-Retries
     std::vector<server_id> tried;
     bool forwarded = false; ///< sent to the home entry
     socket_address home;
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,21 +1,36 @@
 #include "endivelever/base/log.hpp"
 
+#include <algorithm>
+#include <array>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace endivelever {
 namespace detail {
 
-el::Level level_of(const std::string& level) {
-    if (level == "debug") {
-        return el::Level::Debug;
-    }
-    if (level == "warning") {
-        return el::Level::Warning;
-    }
-    if (level == "error") {
-        return el::Level::Error;
+struct named_level {
+    const char* name;
+    el::Level level;
+};
+
+/// From the most to the least detailed level.
+constexpr std::array<named_level, 4> levels{{{"debug", el::Level::Debug},
+                                             {"info", el::Level::Info},
+                                             {"warning", el::Level::Warning},
+                                             {"error", el::Level::Error}}};
+
+/// Turns off the levels below the wanted one. The library's own hierarchy is not used: it ranks Info above
+/// Warning and Error, so that the level "info" would hide errors.
+void disable_below(el::Configurations& conf, const std::string& wanted) {
+    const bool known = std::any_of(levels.begin(), levels.end(),
+                                   [&wanted](const named_level& it) { return wanted == it.name; });
+    const std::string lowest = known ? wanted : "info";
+    for (const auto& it : levels) {
+        if (lowest == it.name) {
+            return;
+        }
+        conf.set(it.level, el::ConfigurationType::Enabled, "false");
     }
-    return el::Level::Info;
 }
 
 } // namespace detail
@@ -39,10 +54,9 @@
     conf.setGlobally(el::ConfigurationType::ToFile, "false");
     conf.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     conf.setGlobally(el::ConfigurationType::Format, "%datetime{%H:%m:%s.%g} %levshort %msg");
-    el::Loggers::addFlag(el::LoggingFlag::HierarchicalLogging);
+    detail::disable_below(conf, level);
     el::Loggers::addFlag(el::LoggingFlag::DisableApplicationAbortOnFatalLog);
     el::Loggers::reconfigureLogger("default", conf);
-    el::Loggers::setLoggingLevel(detail::level_of(level));
 }
 
 } // namespace endivelever
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -31,7 +31,8 @@
             serving.push_back(it);
         }
     }
-    if (!board.stopping) {
+    // An entry without a lease refuses calls, so it does not name itself.
+    if (!board.stopping && may_serve(board, boot_clock::now())) {
         serving.push_back(own_record(board));
     }
     return serving;
@@ -142,6 +143,14 @@
                         {"failure_domain", it.failure_domain.text},
                         {"call_id_prefix", call_id_prefix(it.vm, it.entry_life, it.generation)}});
     }
+    if (list.empty()) {
+        refuse(board, exchange,
+               {.status = 503,
+                .id = 18,
+                .text = "no serving entry is known here",
+                .retry_after = std::chrono::milliseconds(500)});
+        return;
+    }
     const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(board.conf.address_keep).count();
     const json answer{{"addresses", list}, {"keep_ms", keep}, {"preset_version", board.applied.value}};
     answer_json(exchange, 200, answer.dump());
--- a/src/entry/attempt.cpp
+++ b/src/entry/attempt.cpp
@@ -77,6 +77,7 @@
     failed.response_started = it.response_begun;
     failed.body_replayable = !it.body_dropped;
     failed.attempts = it.attempts;
+    failed.caller_attempt = it.caller_retries;
     failed.deadline_left = it.deadline - now;
     auto& service = board.services[it.route->service];
     if (it.forwarded || it.exchange == nullptr || !allow_retry(service.retries, failed)) {
--- a/src/entry/dispatch.cpp
+++ b/src/entry/dispatch.cpp
@@ -99,24 +99,27 @@
     it.transfer = board.client->start(std::move(request), std::move(on));
 }
 
-void end_without_server(entry_board& board, call& it, time_point now) {
+void end_undispatched(entry_board& board, call& it, time_point now, refusal_notice notice) {
     auto& admission = board.services[it.route->service].admission;
     it.in_progress = false;
     note_finished(admission, it.route->position, {.failed = true}, now);
-    end_refused(board, it,
-                {.status = 503,
-                 .id = 12,
-                 .text = "no server may take the call now",
-                 .outcome = it.may_have_run ? told_outcome::unknown : told_outcome::not_run,
-                 .retry_after = retry_hint});
+    notice.outcome = it.may_have_run ? told_outcome::unknown : told_outcome::not_run;
+    notice.retry_after = retry_hint;
+    end_refused(board, it, notice);
 }
 
 void dispatch(entry_board& board, call& it, time_point now) {
     auto& service = board.services[it.route->service];
     it.in_progress = true;
+    if (!may_serve(board, now)) {
+        // The lease may have expired while the call waited, for instance because this process was paused.
+        end_undispatched(board, it, now, {.status = 503, .id = 4, .text = "the preset lease expired"});
+        return;
+    }
     const auto chosen = choose_server(service.pool, it.tried, now, board.random);
     if (!chosen) {
-        end_without_server(board, it, now);
+        end_undispatched(board, it, now,
+                         {.status = 503, .id = 12, .text = "no server may take the call now"});
         return;
     }
     auto& view = service.pool.servers[*chosen];
@@ -124,8 +127,8 @@
     it.server = view.listed.id;
     note_dispatch(view, now);
     if (it.attempts == 0) {
-        note_first_attempt(service.retries,
-                           board.in_force ? board.in_force->content.retry_budget_ratio : 0.0);
+        note_first_attempt(service.retries, board.in_force ? board.in_force->content.retry_budget_ratio : 0.0,
+                           it.caller_retries);
     }
     start_transfer(board, it, now);
 }
--- a/src/entry/intake.cpp
+++ b/src/entry/intake.cpp
@@ -3,21 +3,29 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace endivelever {
 namespace {
 
 constexpr std::string_view addresses_path = "/.well-known/endivelever/addresses";
+constexpr std::uint32_t max_caller_retries = 1000; // keeps the sum over hops in range
 constexpr duration retry_hint = std::chrono::milliseconds(500);
 
-time_point deadline_of(const http_exchange& exchange, const kind_settings& kind, time_point now) {
-    auto wanted = kind.default_deadline;
-    if (const auto* text = find_header(exchange.headers(), "Endivelever-Deadline-Ms")) {
-        std::uint32_t ms = 0;
-        if (std::from_chars(text->data(), text->data() + text->size(), ms).ec == std::errc()) {
-            wanted = std::chrono::milliseconds(ms);
-        }
+std::uint32_t number_of(const http_exchange& exchange, std::string_view name, std::uint32_t absent) {
+    const auto* text = find_header(exchange.headers(), name);
+    std::uint32_t value = 0;
+    if (text == nullptr ||
+        std::from_chars(text->data(), text->data() + text->size(), value).ec != std::errc()) {
+        return absent;
     }
+    return value;
+}
+
+time_point deadline_of(const http_exchange& exchange, const kind_settings& kind, time_point now) {
+    constexpr std::uint32_t absent = std::numeric_limits<std::uint32_t>::max();
+    const auto ms = number_of(exchange, "Endivelever-Deadline-Ms", absent);
+    const duration wanted = ms == absent ? kind.default_deadline : std::chrono::milliseconds(ms);
     return now + std::min(wanted, kind.max_deadline);
 }
 
@@ -42,6 +50,7 @@
     opened.arrived = boot_clock::now();
     opened.deadline = deadline_of(exchange, route.kind, opened.arrived);
     opened.start_us = wall_clock_us();
+    opened.caller_retries = std::min(number_of(exchange, "Endivelever-Retries", 0), max_caller_retries);
     join_trace(board, opened);
     exchange.context = &opened;
     board.calls.emplace(opened.number, std::move(it));
--- a/tests/contract/entry_test.cpp
+++ b/tests/contract/entry_test.cpp
@@ -195,6 +195,32 @@
     EXPECT_TRUE(world.id("x").starts_with(one.at("addresses")[0].at("call_id_prefix").get<std::string>()));
 }
 
+// Guards against callers that are sent to an entry which refuses their calls: it has no lease yet.
+TEST(entry, without_a_lease_names_only_other_entries) {
+    entry_world world(2);
+    world.feed();
+    world.control.send(lease_message{0});
+    ASSERT_TRUE(world.loop.run_until([&] { return world.board().lease_until <= boot_clock::now(); }));
+    const auto reply = world.send(world.request("GET", "/.well-known/endivelever/addresses"));
+    EXPECT_EQ(reply.body.find(world.board().conf.caller_address.text), std::string::npos) << reply.body;
+}
+
+// Guards against retries that multiply over hops: a call that an earlier hop retries is not retried again.
+TEST(entry, call_that_an_earlier_hop_retries_is_not_retried) {
+    entry_world world(2);
+    world.feed();
+    for (const auto* server : {"status-lookup-0", "status-lookup-1"}) {
+        if (auto* it = world.servers->find(server_id(server))) {
+            it->behaviour.shed_ratio = 1.0;
+        }
+    }
+    auto request = world.request("GET", "/status/1");
+    request.headers.push_back({"Endivelever-Retries", "1"});
+    const auto reply = world.send(request);
+    EXPECT_EQ("not-run", outcome_of(reply));
+    EXPECT_EQ(0U, world.board().counters.counters.count("retries_total{service=\"status-lookup\"}"));
+}
+
 // Guards against work for callers who have left.
 TEST(entry, cancels_the_attempt_when_the_caller_leaves) {
     entry_world world(1, 5s);
--- a/tests/failure/preset_failure_test.cpp
+++ b/tests/failure/preset_failure_test.cpp
@@ -117,6 +117,18 @@
     EXPECT_EQ(outcome_of(call_entry(*it, 2, "/status/1")), "not-run");
 }
 
+// Guards against a lease that is extended by messages which waited in the socket while the entry was paused.
+TEST_F(preset_failure, paused_entry_does_not_extend_its_lease_by_messages_that_waited) {
+    it->vm(2).entry.pause();
+    std::this_thread::sleep_for(5s); // its control goes on granting leases
+    for (std::size_t i = 0; i < entry_vms; ++i) {
+        it->vm(i).control.pause();
+    }
+    it->vm(2).entry.resume();
+    std::this_thread::sleep_for(200ms); // time to read what waited
+    EXPECT_EQ(outcome_of(call_entry(*it, 2, "/status/1")), "not-run");
+}
+
 // Guards I7: a restarted VM learns the preset from its peers while the store is down, and never an older one.
 TEST_F(preset_failure, restarted_vm_learns_the_preset_from_peers_during_a_store_outage) {
     const auto before = in_force_version(*it, 0);
--- a/tests/unit/base_test.cpp
+++ b/tests/unit/base_test.cpp
@@ -73,6 +73,39 @@
     EXPECT_TRUE(allow_line(limit, start + 1s));
 }
 
+struct log_level_case {
+    const char* level;
+    const char* printed; ///< levels that are printed, in order
+};
+
+class log_level : public testing::TestWithParam<log_level_case> {};
+
+// Guards against a level that hides more severe messages: "info" once hid errors.
+TEST_P(log_level, prints_its_own_and_more_severe_messages) {
+    configure_logging(GetParam().level);
+    testing::internal::CaptureStderr();
+    LOG(DEBUG) << "[test] debug-line";
+    LOG(INFO) << "[test] info-line";
+    LOG(WARNING) << "[test] warning-line";
+    LOG(ERROR) << "[test] error-line";
+    const auto text = testing::internal::GetCapturedStderr();
+    std::string printed;
+    for (const char* it : {"debug", "info", "warning", "error"}) {
+        if (text.find(std::string(it) + "-line") != std::string::npos) {
+            printed += std::string(it) + " ";
+        }
+    }
+    EXPECT_EQ(printed, GetParam().printed);
+    configure_logging("info");
+}
+
+INSTANTIATE_TEST_SUITE_P(levels, log_level,
+                         testing::Values(log_level_case{"debug", "debug info warning error "},
+                                         log_level_case{"info", "info warning error "},
+                                         log_level_case{"warning", "warning error "},
+                                         log_level_case{"error", "error "}),
+                         [](const auto& it) { return std::string(it.param.level); });
+
 TEST(error_value, message_starts_with_prefix_and_id) {
     EXPECT_EQ(make_error("config", 7, "bad value 3").message, "[config.7] bad value 3");
 }
