Test the announcement of a stopping control and of a leaving entry apart

Cause: with both in one test, a control that did not announce its own stop went unseen, because the leaving entry was announced. Change: one test each.

--- a/tests/contract/control_test.cpp
+++ b/tests/contract/control_test.cpp
@@ -291,14 +291,23 @@
     EXPECT_TRUE(it.loop.run_until([&] { return it.controls[2]->board().drains.servers.size() == 2; }));
 }
 
-// Guards against callers that are still sent to a VM that is about to stop.
+// Guards against callers that are still sent to a VM whose control is about to stop.
 TEST(control, announces_leaving_before_it_stops) {
     world it;
     it.start_all();
-    it.entries[1]->state = member_state::leaving;
     it.controls[1]->stop();
     EXPECT_TRUE(it.loop.run_until([&] { return it.entries[0]->members == 2; }));
     EXPECT_EQ(it.controls[1]->board().members.self.state, member_state::leaving);
+    EXPECT_EQ(it.controls[0]->board().members.others.at(vm_id("vm-02")).record.state, member_state::leaving);
+}
+
+// Guards against callers that are still sent to a VM whose entry is about to stop.
+TEST(control, announces_an_entry_that_is_leaving) {
+    world it;
+    it.start_all();
+    it.entries[1]->state = member_state::leaving;
+    it.entries[1]->report();
+    EXPECT_TRUE(it.loop.run_until([&] { return it.entries[0]->members == 2; }));
 }
 
 struct refusal_case {
