--- a/tests/contract/http_stream_test.cpp
+++ b/tests/contract/http_stream_test.cpp
@@ -38,7 +38,7 @@
         std::string request_body;
         bool request_ended = false;
     };
-    static constexpr std::size_t buffer_limit = 64 * 1024;
+    static constexpr std::size_t buffer_limit = 64UL * 1024;
     http_client client;
     std::unique_ptr<http_server> server;
     std::map<http_exchange*, leg> legs;
