--- a/include/endivelever/config/preset.hpp
+++ b/include/endivelever/config/preset.hpp
@@ -27,7 +27,6 @@
     std::string description;
     std::vector<preset_kind_rule> kinds;
     double retry_budget_ratio = 0.1;            ///< retries per first attempt, 0 to 1
-    double hedge_budget_ratio = 0.0;            ///< hedges per first attempt, 0 to 1
     double probes_per_server_per_second = 10.0; ///< budget of all entries together
 };
 
--- a/include/endivelever/decide/observe.hpp
+++ b/include/endivelever/decide/observe.hpp
@@ -13,7 +13,7 @@
     shed,      ///< the server states that it did not run the call
     failed,    ///< server error, broken connection or connect failure
     timed_out, ///< no response in time
-    cancelled  ///< given up by the caller or a hedge; says nothing about the server
+    cancelled  ///< given up by the caller; says nothing about the server
 };
 
 /// Notes that a call was sent to a server.
--- a/include/endivelever/entry/board.hpp
+++ b/include/endivelever/entry/board.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "endivelever/base/counters.hpp"
-#include "endivelever/base/log.hpp"
 #include "endivelever/base/random.hpp"
 #include "endivelever/config/in_force.hpp"
 #include "endivelever/decide/document_table.hpp"
@@ -30,7 +29,6 @@
     random_source random;
     incarnation life;
     counter_table counters;
-    log_limit refusal_log;
 
     document_table documents;
     std::optional<in_force_record> in_force;
--- a/src/config/preset.cpp
+++ b/src/config/preset.cpp
@@ -60,7 +60,6 @@
     out.description = in.text("description", {0, max_description_bytes}, "");
     out.kinds = in.list("kinds", {1, max_rules}, read_rule);
     out.retry_budget_ratio = in.number("retry_budget_ratio", {0.0, 1.0}, out.retry_budget_ratio);
-    out.hedge_budget_ratio = in.number("hedge_budget_ratio", {0.0, 1.0}, out.hedge_budget_ratio);
     out.probes_per_server_per_second =
         in.number("probes_per_server_per_second", {0.0, max_probes}, out.probes_per_server_per_second);
     in.finish();
@@ -77,7 +76,6 @@
             {"description", value.description},
             {"kinds", std::move(kinds)},
             {"retry_budget_ratio", value.retry_budget_ratio},
-            {"hedge_budget_ratio", value.hedge_budget_ratio},
             {"probes_per_server_per_second", value.probes_per_server_per_second}};
 }
 
--- a/src/entry/documents.cpp
+++ b/src/entry/documents.cpp
@@ -1,3 +1,4 @@
+#include "endivelever/base/log.hpp"
 #include "endivelever/config/drains.hpp"
 #include "endivelever/config/vm_list.hpp"
 #include "endivelever/entry/controllers.hpp"
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -1,4 +1,5 @@
 #include "endivelever/entry/entry_process.hpp"
+#include "endivelever/base/log.hpp"
 
 #include "endivelever/entry/controllers.hpp"
 #include "endivelever/entry/feed.hpp"
--- a/src/entry/feed.cpp
+++ b/src/entry/feed.cpp
@@ -1,4 +1,5 @@
 #include "endivelever/entry/feed.hpp"
+#include "endivelever/base/log.hpp"
 
 #include "endivelever/entry/controllers.hpp"
 #include "endivelever/net/event_loop.hpp"
@@ -13,6 +14,8 @@
 constexpr duration retry_interval = std::chrono::milliseconds(200);
 constexpr duration failover_after = std::chrono::seconds(2);
 constexpr std::uint32_t jitter_ms = 100;
+// A longer gap between two report times means that this process was paused.
+constexpr duration pause_limit = std::chrono::milliseconds(1500);
 
 } // namespace
 
@@ -23,6 +26,7 @@
     bool linked_to_own = false;
     time_point own_lost{};   ///< since when the own control has been unavailable
     time_point last_heard{}; ///< last message of any control
+    time_point last_turn{};  ///< last report time
     std::size_t next_other = 0;
     timer reports;
     timer retries;
@@ -30,6 +34,7 @@
     explicit state(entry_board& at)
         : board(at), own_lost(boot_clock::now()), reports(at.loop, [this] { on_report_time(); }),
           retries(at.loop, [this] { connect(); }) {
+        last_turn = own_lost;
         reports.start(report_interval, report_interval);
         connect();
     }
@@ -41,6 +46,7 @@
     void on_closed(const std::string& reason);
     void on_report_time();
     void schedule_retry();
+    bool recover_from_pause(time_point now);
 };
 
 std::vector<socket_address> feed_client::state::other_controls() const {
@@ -91,8 +97,27 @@
     link->send(make_report(board));
 }
 
+/// Leases that waited in the socket during a pause are older than their receipt, so they are not used.
+/// @return true if this process was paused; the link is then closed and the lease withdrawn
+bool feed_client::state::recover_from_pause(time_point now) {
+    const bool paused = now - last_turn > pause_limit;
+    last_turn = now;
+    if (paused) {
+        LOG(WARNING) << "[entry] resumed after a pause, connecting anew";
+        board.lease_until = time_point{};
+        link.reset();
+        schedule_retry();
+    }
+    return paused;
+}
+
 void feed_client::state::on_message(const message& incoming) {
-    last_heard = boot_clock::now();
+    const auto now = boot_clock::now();
+    if (now - last_turn > pause_limit) {
+        recover_from_pause(now);
+        return;
+    }
+    last_heard = now;
     if (linked_to_own) {
         own_lost = last_heard;
         next_other = 0;
@@ -122,6 +147,9 @@
 
 void feed_client::state::on_report_time() {
     update_demand(board, report_interval);
+    if (recover_from_pause(boot_clock::now())) {
+        return;
+    }
     if (link && link->ready()) {
         link->send(make_report(board));
     }
