Write out the comparison of strong numbers

Cause: clang-tidy 14 reports modernize-use-nullptr inside defaulted three-way comparisons that a map instantiates, a false positive that fails the lint step. Change: strong_number compares its value explicitly, as strong_id does.

--- a/include/endivelever/base/strong_id.hpp
+++ b/include/endivelever/base/strong_id.hpp
@@ -34,7 +34,8 @@
 struct strong_number {
     Rep value{};
 
-    auto operator<=>(const strong_number&) const = default;
+    bool operator==(const strong_number&) const = default;
+    std::strong_ordering operator<=>(const strong_number& other) const { return value <=> other.value; }
 };
 
 template <typename Tag, typename Rep>
