Close the listener of a forwarder that refuses connections

Cause: forwarder_mode refuse failed on a busy machine: the forwarder accepted and then reset, so the caller saw either a failed connect or a broken connection, and a change of mode returned before the thread had applied it.

Change: refusing closes the listening socket while a bound socket keeps the port, and set_mode() returns once the thread has applied the mode.

--- a/bench/testbed/forwarder.hpp
+++ b/bench/testbed/forwarder.hpp
@@ -14,7 +14,7 @@
     hold_to_target, ///< one-way partition: bytes from the connecting side wait
     hold_to_source, ///< one-way partition: bytes from the target wait
     hold_both,      ///< two-way partition
-    refuse          ///< resets open connections and new ones
+    refuse          ///< resets open connections and refuses new ones
 };
 
 /// Forwards TCP connections from a loopback port to a target, on a thread of its own.
@@ -30,7 +30,7 @@
     forwarder& operator=(forwarder&&) = delete;
 
     [[nodiscard]] socket_address address() const;
-    /// Applies to open and new connections.
+    /// Applies to open and new connections; in force on return.
     void set_mode(forward_mode mode);
     /// Connections that are open now never deliver another byte, while new ones work.
     void silence_open_connections();
