Make the failure tests compile with clang

Cause: clang 14 does not capture structured bindings in lambdas, so the lint step failed on one test file.

--- a/tests/failure/failure_cluster.cpp
+++ b/tests/failure/failure_cluster.cpp
@@ -42,7 +42,8 @@
 
 load_totals totals_of(const load_report& report) {
     load_totals sum;
-    for (const auto& [kind, it] : report.kinds) {
+    for (const auto& entry : report.kinds) {
+        const auto& it = entry.second;
         const auto count = [&](call_outcome outcome) {
             return it.outcomes[static_cast<std::size_t>(outcome)];
         };
