--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -2,8 +2,10 @@
 find_package(CURL REQUIRED)
 find_package(docopt REQUIRED)
 find_package(tl-expected REQUIRED)
-find_package(GTest REQUIRED)
-find_package(benchmark REQUIRED)
+if(ENDIVELEVER_TESTS)
+  find_package(GTest REQUIRED)
+  find_package(benchmark REQUIRED)
+endif()
 find_package(Threads REQUIRED)
 
 # easylogging++ is packaged as source.
--- /dev/null
+++ b/include/endivelever/config/routing.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "endivelever/base/ids.hpp"
+#include "endivelever/base/time.hpp"
+#include "endivelever/config/settings.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace endivelever {
+
+using route_id = strong_id<struct route_id_tag>;
+
+/// Version of a routing configuration; a higher one is newer.
+using routing_version = strong_number<struct routing_version_tag, std::uint64_t>;
+
+/// One part of a traffic split.
+struct service_weight {
+    service_id service;
+    std::uint32_t weight = 1;
+};
+
+/// Where the requests of one host and path prefix go, and what may be done with them.
+struct route {
+    route_id id;
+    std::string host;        ///< lower case, without port
+    std::string path_prefix; ///< starts and ends with '/'; the longest match wins
+    bool idempotent = false; ///< true if a request may run more than once
+    bool large_response = false;
+    duration timeout{};                ///< longest time from the arrival of a request to its final response
+    duration latency_target{};         ///< wanted time to the complete response
+    std::uint32_t rank = 0;            ///< 0 is the most urgent
+    std::uint32_t max_attempts = 1;    ///< servers to which one request may be sent
+    std::vector<service_weight> split; ///< at least one part
+};
+
+/// What the configuration says of a service. Its servers register themselves.
+struct routed_service {
+    service_id id;
+    std::string health_path;
+    std::uint32_t max_connections = 0; ///< connections a server accepts from all VMs together
+};
+
+/// Limits on what a caller may send.
+struct request_limits {
+    byte_count max_header{16'384};
+    byte_count max_body{67'108'864};
+    duration idle_timeout = std::chrono::seconds(15);
+};
+
+/// A complete routing configuration.
+struct routing_config {
+    routing_version version;
+    std::vector<route> routes;
+    std::vector<routed_service> services;
+    request_limits limits;
+};
+
+/// A server as it registered itself.
+struct registered_server {
+    server_id id;
+    service_id service;
+    socket_address address;
+    endivelever::failure_domain failure_domain;
+    std::uint32_t slots = 1; ///< requests it runs at the same time
+    bool draining = false;
+    duration warm_up_left{};   ///< how much longer it is slow after its start
+    std::int64_t start_ms = 0; ///< Unix milliseconds of its start; tells two lives under one id apart
+
+    bool operator==(const registered_server&) const = default;
+};
+
+} // namespace endivelever
--- a/include/endivelever/decide/load_report.hpp
+++ b/include/endivelever/decide/load_report.hpp
@@ -14,6 +14,8 @@
     std::uint32_t queued = 0;  ///< calls waiting for a slot
     duration service_time{};   ///< recent mean time in a slot
     bool draining = false;
+    /// How long work takes at this moment compared with the server's usual speed; 0 means not reported.
+    double slowdown = 0.0;
 };
 
 /// Parses the Endivelever-Load header, for instance "running=3;queued=2;service_us=4800;draining=0".
--- /dev/null
+++ b/include/endivelever/gateway/board.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "endivelever/base/counters.hpp"
+#include "endivelever/base/event_log.hpp"
+#include "endivelever/base/histogram.hpp"
+#include "endivelever/base/random.hpp"
+#include "endivelever/decide/peer_table.hpp"
+#include "endivelever/decide/retry.hpp"
+#include "endivelever/decide/server_registry.hpp"
+#include "endivelever/gateway/dialect.hpp"
+#include "endivelever/gateway/request.hpp"
+#include "endivelever/gateway/settings.hpp"
+#include "endivelever/store/object_reflector.hpp"
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace endivelever {
+
+class datagram_socket;
+
+/// Everything a gateway knows of one service.
+struct gateway_service {
+    server_pool pool;
+    retry_budget retries{0.0, 0.0};
+    histogram response_time; ///< from dispatch to the complete response, successes only
+    bool in_config = false;
+};
+
+/// A load that this VM learned itself.
+struct timed_load {
+    server_load load;
+    time_point at{};
+};
+
+/// Blackboard of the gateway process. Controllers are free functions that read and write it.
+struct gateway_board {
+    gateway_settings conf;
+    gateway_dialect dialect;
+    struct ev_loop* loop = nullptr;
+    random_source random;
+    incarnation life;
+    event_log log;
+    counter_table counters;
+
+    std::shared_ptr<const route_table> routes; ///< nullptr until a configuration was read
+    store_revision routing_revision;
+    server_registry registry;
+    store_revision servers_revision;
+    std::map<service_id, gateway_service> services;
+
+    bool registered = false;   ///< this VM's own entry is in the store
+    bool check_failed = false; ///< the last cheap call to the store was not answered
+
+    peer_table peers;
+    peer_pacing pacing;
+    std::uint64_t status_sequence = 0;
+    std::unordered_map<std::uint32_t, timed_load> fresh_loads; ///< by server key, since the last status
+
+    std::unordered_map<request_number, std::unique_ptr<gateway_request>> requests;
+    request_number last_request = 0;
+    histogram latency; ///< from the request head to the final response
+    bool stopping = false;
+    time_point stop_began{};
+
+    std::unique_ptr<http_client> servers; ///< client for requests and probes
+    std::unique_ptr<http_client> store;   ///< client for the object store
+    object_store_access store_access;
+    std::unique_ptr<object_reflector> routing_reflector;
+    std::unique_ptr<object_reflector> server_reflector;
+    std::unique_ptr<datagram_socket> peer_socket;
+    std::unique_ptr<http_server> callers;
+    std::unique_ptr<http_server> ready;
+    std::unique_ptr<http_server> lookup;
+    std::unique_ptr<http_server> metrics;
+};
+
+/// True if this VM can serve requests: configuration and servers are known and no stop began.
+bool is_ready(const gateway_board& board);
+
+/// Adds one to a counter with the prefix "gateway_".
+void count(gateway_board& board, const std::string& series);
+
+} // namespace endivelever
--- /dev/null
+++ b/include/endivelever/gateway/controllers.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "endivelever/gateway/board.hpp"
+
+namespace endivelever {
+
+// Requests of callers.
+http_server::handlers caller_handlers(gateway_board& board);
+
+/// Sends a request to a server, or refuses it if none can take it.
+void dispatch(gateway_board& board, gateway_request& it);
+
+/// Sends a request that waits for a response to a second server as well, where the route allows it.
+void dispatch_again(gateway_board& board, gateway_request& it);
+
+/// Ends all attempts of a request without a response to the caller.
+void cancel_attempts(gateway_board& board, gateway_request& it);
+
+// Responses.
+/// Response of this system's own.
+struct own_response {
+    unsigned status = 503;
+    std::string reason; ///< one sentence for the body and the log
+    duration retry_after{};
+};
+
+/// Ends a request with a response of this system's own, or by a reset if part of a response was sent.
+/// Statuses 408, 421, 429 and 503 promise that the request has not run; after an attempt without proof of
+/// that they become 502.
+void respond_own(gateway_board& board, gateway_request& it, const own_response& response);
+
+/// Ends a request with the complete response of an attempt.
+void respond_with(gateway_board& board, gateway_request& it, request_attempt& attempt);
+
+/// Starts to pass on the response of an attempt that is too large to be held.
+void begin_streaming(gateway_board& board, gateway_request& it, request_attempt& attempt);
+
+/// Forgets a request after its response or after its caller left.
+void forget(gateway_board& board, gateway_request& it);
+
+// Knowledge from the store.
+void start_store(gateway_board& board);
+/// Registers this VM in the store and reads the other VMs; also shows whether the store answers.
+void check_store(gateway_board& board);
+/// Brings the pools up to date with registry, configuration and peers.
+void update_pools(gateway_board& board);
+
+// Peers.
+void receive_status(gateway_board& board, std::span<const std::uint8_t> payload);
+void send_status(gateway_board& board);
+/// Keeps a load report for the next status.
+void note_load(gateway_board& board, const server_view& view, const load_report& report);
+
+// Administration.
+http_server::handlers ready_handlers(gateway_board& board);
+http_server::handlers lookup_handlers(gateway_board& board);
+http_server::handlers metrics_handlers(gateway_board& board);
+
+// Upkeep.
+/// Work every few milliseconds: final responses that are due, review of servers, probes.
+void review(gateway_board& board);
+
+} // namespace endivelever
--- a/include/endivelever/net/http_client.hpp
+++ b/include/endivelever/net/http_client.hpp
@@ -47,6 +47,11 @@
     duration connect_timeout = std::chrono::seconds(1);
     /// Ends the transfer as `timeout` if no byte moved for this long; 0 means no such limit.
     duration progress_timeout{};
+    /// Accepts a response whose body ends with its connection. A reset still ends the transfer as `broken`.
+    bool accepts_unframed = false;
+    /// Sends TCP keep-alive probes after this time without traffic, so that a connection whose peer went
+    /// silent ends as `broken` after two unanswered probes; 0 sends none.
+    duration keep_alive_interval{};
 };
 
 /// Result of asking for more request body.
--- a/include/endivelever/net/http_server.hpp
+++ b/include/endivelever/net/http_server.hpp
@@ -77,6 +77,8 @@
 
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::size_t open_exchanges() const;
+    /// Sends "Connection: close" with every further response; new connections are still accepted.
+    void announce_close();
     /// Closes the listening socket and sends "Connection: close" with every further response.
     void stop_accepting();
 
--- /dev/null
+++ b/include/endivelever/store/object_reflector.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "endivelever/base/random.hpp"
+#include "endivelever/net/event_loop.hpp"
+#include "endivelever/store/object_protocol.hpp"
+
+#include <functional>
+#include <optional>
+
+namespace endivelever {
+
+/// Counts of calls to an object store, over all users of one process.
+struct object_store_counts {
+    std::uint64_t calls = 0;
+    std::uint64_t failures = 0;
+    std::uint64_t lists = 0;
+    std::uint64_t changes = 0; ///< watch answers that carried at least one change
+};
+
+/// Shared by all reflectors of a process.
+struct object_store_access {
+    struct ev_loop* loop = nullptr;
+    http_client* client = nullptr;
+    random_source* random = nullptr;
+    object_protocol protocol;
+    object_store_counts counts;
+};
+
+/// Keeps a process informed of all objects of one kind: lists them once, watches from that revision, lists
+/// again when the history is gone or a call failed. Failed calls are repeated with jittered back-off.
+class object_reflector {
+  public:
+    struct handlers {
+        std::function<void(const std::vector<stored_object>&, store_revision)> on_list;
+        std::function<void(const std::vector<object_change>&, store_revision)> on_changes;
+        std::function<void(const std::string& cause)> on_failure; ///< a call failed
+        std::function<void()> on_answer;                          ///< a call was answered
+    };
+
+    /// @param access  outlives the reflector
+    object_reflector(object_store_access& access, object_kind kind, handlers callbacks);
+    ~object_reflector();
+    object_reflector(const object_reflector&) = delete;
+    object_reflector& operator=(const object_reflector&) = delete;
+    object_reflector(object_reflector&&) = delete;
+    object_reflector& operator=(object_reflector&&) = delete;
+
+    /// Drops the call in progress and lists again at once.
+    void list_again();
+    [[nodiscard]] store_revision revision() const { return m_revision; }
+
+  private:
+    void list_next_page();
+    void watch();
+    void take_page(const http_reply& reply);
+    void take_changes(const http_reply& reply);
+    void fail_call(const std::string& cause);
+    void send(http_request request, void (object_reflector::*on_reply)(const http_reply&));
+
+    object_store_access& m_access;
+    object_kind m_kind;
+    handlers m_callbacks;
+    timer m_next_call;
+    std::optional<transfer_id> m_call;
+    std::vector<stored_object> m_listed;
+    store_revision m_list_revision;
+    store_revision m_revision;
+    duration m_back_off;
+    bool m_has_list = false; ///< false while the next call is a list
+};
+
+} // namespace endivelever
--- /dev/null
+++ b/src/decide/route_table.cpp
@@ -0,0 +1,58 @@
+#include "endivelever/decide/route_table.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace endivelever {
+namespace detail {
+
+std::string normalized_host(std::string_view host) {
+    std::string text(host.substr(0, host.find(':')));
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+} // namespace detail
+
+std::shared_ptr<const route_table> make_route_table(routing_config config) {
+    auto table = std::make_shared<route_table>();
+    table->config = std::move(config);
+    for (const auto& it : table->config.routes) {
+        table->by_host[detail::normalized_host(it.host)].push_back(&it);
+    }
+    for (auto& entry : table->by_host) {
+        std::stable_sort(entry.second.begin(), entry.second.end(), [](const route* left, const route* right) {
+            return left->path_prefix.size() > right->path_prefix.size();
+        });
+    }
+    return table;
+}
+
+const route* find_route(const route_table& table, std::string_view host, std::string_view path) {
+    const auto found = table.by_host.find(detail::normalized_host(host));
+    if (found == table.by_host.end()) {
+        return nullptr;
+    }
+    const auto it = std::find_if(found->second.begin(), found->second.end(), [path](const route* candidate) {
+        return path.starts_with(candidate->path_prefix);
+    });
+    return it == found->second.end() ? nullptr : *it;
+}
+
+const service_id& pick_service(const route& it, random_source& random) {
+    std::uint64_t total = 0;
+    for (const auto& part : it.split) {
+        total += part.weight;
+    }
+    auto left = total == 0 ? 0.0 : random_unit(random) * static_cast<double>(total);
+    for (const auto& part : it.split) {
+        if (left < static_cast<double>(part.weight)) {
+            return part.service;
+        }
+        left -= static_cast<double>(part.weight);
+    }
+    return it.split.front().service;
+}
+
+} // namespace endivelever
--- /dev/null
+++ b/src/decide/server_registry.cpp
@@ -0,0 +1,96 @@
+#include "endivelever/decide/server_registry.hpp"
+
+#include <set>
+
+namespace endivelever {
+namespace detail {
+
+/// True while a removal may be an entry that lapsed because the store could not take its server's writes.
+bool may_have_lapsed(const server_registry& registry, time_point now) {
+    if (registry.store_is_away) {
+        return true;
+    }
+    return registry.store_back_at != time_point{} && now < registry.store_back_at + reregistration_time;
+}
+
+void mark_missing(server_registry& registry, registry_entry& entry, time_point now) {
+    if (!entry.missing) {
+        entry.missing = true;
+        entry.missing_until = (registry.store_is_away ? now : registry.store_back_at) + reregistration_time;
+    }
+}
+
+} // namespace detail
+
+void note_store_away(server_registry& registry) {
+    registry.store_is_away = true;
+}
+
+void note_store_answer(server_registry& registry, time_point now) {
+    if (!registry.store_is_away) {
+        return;
+    }
+    registry.store_is_away = false;
+    registry.store_back_at = now;
+    for (auto& it : registry.entries) {
+        if (it.second.missing) {
+            it.second.missing_until = now + reregistration_time;
+        }
+    }
+}
+
+void apply_listed(server_registry& registry, const std::vector<registered_server>& listed, time_point now) {
+    std::set<server_id> present;
+    for (const auto& it : listed) {
+        present.insert(it.id);
+        apply_changed(registry, it);
+    }
+    for (auto it = registry.entries.begin(); it != registry.entries.end();) {
+        if (present.contains(it->first)) {
+            ++it;
+        } else if (detail::may_have_lapsed(registry, now) && !it->second.server.draining) {
+            detail::mark_missing(registry, it->second, now);
+            ++it;
+        } else {
+            it = registry.entries.erase(it);
+        }
+    }
+    registry.loaded = true;
+}
+
+void apply_changed(server_registry& registry, const registered_server& server) {
+    registry.entries[server.id] = {server, false, {}};
+}
+
+void apply_removed(server_registry& registry, const server_id& id, time_point now) {
+    const auto found = registry.entries.find(id);
+    if (found == registry.entries.end()) {
+        return;
+    }
+    if (detail::may_have_lapsed(registry, now) && !found->second.server.draining) {
+        detail::mark_missing(registry, found->second, now);
+    } else {
+        registry.entries.erase(found);
+    }
+}
+
+bool drop_missing(server_registry& registry, time_point now) {
+    if (registry.store_is_away) {
+        return false;
+    }
+    return std::erase_if(registry.entries, [now](const auto& it) {
+               return it.second.missing && now >= it.second.missing_until;
+           }) > 0;
+}
+
+std::vector<registered_server> servers_of(const server_registry& registry, const service_id& service) {
+    std::vector<registered_server> found;
+    for (const auto& it : registry.entries) {
+        if (it.second.server.service == service) {
+            found.push_back(it.second.server);
+        }
+    }
+    return found;
+}
+
+} // namespace endivelever
--- a/src/decide/server_view.cpp
+++ b/src/decide/server_view.cpp
@@ -24,11 +24,15 @@
 
 server_view view_of(const server_pool& pool, const listed_server& listed, time_point now) {
     const auto index = find_server(pool, listed.id);
-    if (index < pool.servers.size() && pool.servers[index].listed.address == listed.address) {
+    if (index < pool.servers.size() && pool.servers[index].listed.address == listed.address &&
+        pool.servers[index].listed.start_ms == listed.start_ms) {
         return pool.servers[index];
     }
     server_view fresh;
     fresh.warm_since = now;
+    if (listed.warm_up_left > duration::zero()) {
+        fresh.warm_up = listed.warm_up_left;
+    }
     // A server that the list drops and names again must not be probed at once each time.
     fresh.last_probe = now;
     return fresh;
--- a/src/entry/header_rules.hpp
+++ b/src/entry/header_rules.hpp
@@ -10,6 +10,4 @@
 /// @return end-to-end headers of the server's response, for the caller
 http_headers response_headers(const http_headers& from_server);
 
-bool same_name(std::string_view left, std::string_view right);
-
 } // namespace endivelever::detail
--- /dev/null
+++ b/src/gateway/admin.cpp
@@ -0,0 +1,116 @@
+#include "endivelever/gateway/controllers.hpp"
+
+#include <array>
+
+namespace endivelever {
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+// A caller that fails at one address tries another of the same answer.
+constexpr std::size_t enough_addresses = 3;
+
+http_server::handlers answer_with(std::function<void(http_exchange&)> answer) {
+    http_server::handlers handlers;
+    handlers.on_head = std::move(answer);
+    return handlers;
+}
+
+void respond_json(http_exchange& exchange, unsigned status, std::string body) {
+    exchange.respond(status, {{"Content-Type", "application/json"}}, std::move(body));
+}
+
+/// Value of a parameter of the query, without decoding: names of failure domains need none.
+std::string query_value(const std::string& target, const std::string& name) {
+    const auto begin = target.find('?');
+    std::string_view rest =
+        begin == std::string::npos ? std::string_view() : std::string_view(target).substr(begin + 1);
+    while (!rest.empty()) {
+        const auto end = std::min(rest.find('&'), rest.size());
+        const auto item = rest.substr(0, end);
+        if (item.starts_with(name) && item.size() > name.size() && item[name.size()] == '=') {
+            return std::string(item.substr(name.size() + 1));
+        }
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return {};
+}
+
+void answer_lookup(gateway_board& board, http_exchange& exchange) {
+    if (exchange.path() != board.dialect.lookup_path) {
+        respond_json(exchange, status_not_found, "{\"error\":\"path is not known\"}\n");
+        return;
+    }
+    const own_address own{board.conf.failure_domain, board.conf.caller_address.text, is_ready(board)};
+    const failure_domain asked(query_value(exchange.target(), board.dialect.lookup_domain_parameter));
+    const auto addresses = caller_addresses(board.peers, own, asked, enough_addresses, board.pacing,
+                                            boot_clock::now(), board.random);
+    if (addresses.empty()) {
+        count(board, "lookups_total{outcome=\"none\"}");
+        respond_json(exchange, status_unavailable, "{\"error\":\"no VM takes requests now\"}\n");
+        return;
+    }
+    count(board, "lookups_total{outcome=\"answered\"}");
+    respond_json(exchange, status_ok, board.dialect.write_addresses(addresses, board.conf.address_keep));
+}
+
+void answer_ready(gateway_board& board, http_exchange& exchange) {
+    if (exchange.path() != board.dialect.ready_path) {
+        respond_json(exchange, status_not_found, "{\"error\":\"path is not known\"}\n");
+    } else if (is_ready(board)) {
+        respond_json(exchange, status_ok, "{}\n");
+    } else {
+        respond_json(exchange, status_unavailable, "{\"error\":\"this VM takes no requests\"}\n");
+    }
+}
+
+void set_quantiles(counter_table& counters, const std::string& name, const std::string& label,
+                   const histogram& source) {
+    static constexpr std::array<std::pair<double, const char*>, 3> quantiles{
+        {{0.5, "0.5"}, {0.9, "0.9"}, {0.99, "0.99"}}};
+    for (const auto& [quantile, text] : quantiles) {
+        counters.gauges[name + "{" + label + "quantile=\"" + text + "\"}"] =
+            to_seconds(value_at(source, quantile));
+    }
+    counters.gauges[name + "_count{" + label + "}"] = static_cast<double>(source.total);
+}
+
+std::string metrics_text(gateway_board& board) {
+    const auto now = boot_clock::now();
+    auto& gauges = board.counters.gauges;
+    gauges["gateway_open_requests"] = static_cast<double>(board.requests.size());
+    gauges["gateway_routing_version"] =
+        board.routes == nullptr ? 0.0 : static_cast<double>(board.routes->config.version.value);
+    gauges["gateway_registered_servers"] = static_cast<double>(board.registry.entries.size());
+    gauges["gateway_store_away"] = board.registry.store_is_away ? 1.0 : 0.0;
+    gauges["gateway_serving_vms"] = serving_vms(board.peers, board.pacing, now);
+    gauges["gateway_log_lines_dropped"] = static_cast<double>(board.log.dropped);
+    gauges["gateway_store_calls"] = static_cast<double>(board.store_access.counts.calls);
+    gauges["gateway_store_call_failures"] = static_cast<double>(board.store_access.counts.failures);
+    set_quantiles(board.counters, "gateway_request_seconds", "", board.latency);
+    for (const auto& it : board.services) {
+        const auto label = "service=\"" + it.first.text + "\",";
+        set_quantiles(board.counters, "gateway_server_seconds", label, it.second.response_time);
+        gauges["gateway_retry_tokens{service=\"" + it.first.text + "\"}"] = it.second.retries.tokens;
+    }
+    return exposition_text(board.counters);
+}
+
+} // namespace
+
+http_server::handlers ready_handlers(gateway_board& board) {
+    return answer_with([&board](http_exchange& exchange) { answer_ready(board, exchange); });
+}
+
+http_server::handlers lookup_handlers(gateway_board& board) {
+    return answer_with([&board](http_exchange& exchange) { answer_lookup(board, exchange); });
+}
+
+http_server::handlers metrics_handlers(gateway_board& board) {
+    return answer_with([&board](http_exchange& exchange) {
+        exchange.respond(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_text(board));
+    });
+}
+
+} // namespace endivelever
--- /dev/null
+++ b/src/gateway/dispatch.cpp
@@ -0,0 +1,313 @@
+#include "endivelever/decide/choose_server.hpp"
+#include "endivelever/decide/observe.hpp"
+#include "endivelever/gateway/controllers.hpp"
+
+#include <algorithm>
+
+namespace endivelever {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+// Within a region a connection takes a few milliseconds; a lost opening packet is sent again after a second.
+constexpr duration connect_timeout = 300ms;
+// The transfer outlives the final response a little, so that only the request's own timer decides.
+constexpr duration transfer_margin = 200ms;
+// Part of the retry budget that is used: requests are counted at their arrival here, which differs a little
+// from the window over all VMs.
+constexpr double used_budget = 0.7;
+constexpr unsigned first_server_error = 500;
+// Responses up to this size are held until they are complete, so that one that breaks off can be repeated.
+constexpr std::size_t max_held_response = 1UL << 20U;
+
+request_attempt* find_attempt(gateway_request& it, const request_attempt* attempt) {
+    const auto found = std::find_if(it.attempts.begin(), it.attempts.end(),
+                                    [attempt](const auto& candidate) { return candidate.get() == attempt; });
+    return found == it.attempts.end() ? nullptr : found->get();
+}
+
+gateway_request* find_request(gateway_board& board, request_number number) {
+    const auto found = board.requests.find(number);
+    return found == board.requests.end() ? nullptr : found->second.get();
+}
+
+http_headers request_headers(const gateway_board& board, const gateway_request& it,
+                             const request_attempt& attempt, time_point now) {
+    const auto& names = board.dialect.names;
+    const std::array<std::string_view, 2> replaced{names.deadline_ms, names.expected_server};
+    auto headers = end_to_end_headers(it.exchange->headers(), replaced);
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(it.final_at - now).count();
+    headers.push_back({names.deadline_ms, std::to_string(std::max<std::int64_t>(1, left))});
+    headers.push_back({names.expected_server, attempt.server.text});
+    return headers;
+}
+
+server_view* find_view(gateway_board& board, const gateway_request& it, const request_attempt& attempt) {
+    const auto service = board.services.find(it.service);
+    if (service == board.services.end()) {
+        return nullptr;
+    }
+    auto& servers = service->second.pool.servers;
+    const auto index = find_server(service->second.pool, attempt.server);
+    const bool known = index < servers.size() && servers[index].listed.address.text == attempt.server_address;
+    return known ? &servers[index] : nullptr;
+}
+
+/// Ends an attempt in the view of its server.
+void settle(gateway_board& board, const gateway_request& it, request_attempt& attempt, attempt_end end) {
+    if (!attempt.in_progress) {
+        return;
+    }
+    attempt.in_progress = false;
+    if (auto* view = find_view(board, it, attempt)) {
+        auto& service = board.services[it.service];
+        const auto now = boot_clock::now();
+        note_end(service.pool, *view, attempt.started, now, end, attempt.report);
+        if (attempt.report) {
+            note_load(board, *view, *attempt.report);
+        }
+        if (end == attempt_end::answered) {
+            record(service.response_time, now - attempt.started);
+        }
+    }
+}
+
+bool other_in_progress(const gateway_request& it) {
+    return std::any_of(it.attempts.begin(), it.attempts.end(),
+                       [](const auto& attempt) { return attempt->in_progress; });
+}
+
+std::vector<server_id> tried_servers(const gateway_request& it) {
+    std::vector<server_id> ids;
+    for (const auto& attempt : it.attempts) {
+        ids.push_back(attempt->server);
+    }
+    return ids;
+}
+
+bool may_repeat(gateway_board& board, const gateway_request& it, bool certainly_not_run) {
+    if (it.attempts.size() >= it.rule->max_attempts || it.streaming != nullptr) {
+        return false;
+    }
+    failed_attempt attempt;
+    attempt.certainly_not_run = certainly_not_run && !it.may_have_run;
+    attempt.idempotent = it.rule->idempotent;
+    attempt.body_replayable = true;
+    attempt.attempts = static_cast<std::uint32_t>(it.attempts.size());
+    attempt.deadline_left = it.final_at - boot_clock::now();
+    return allow_retry(board.services[it.service].retries, attempt);
+}
+
+void start_attempt(gateway_board& board, gateway_request& it, server_view& view);
+
+/// Decides what follows a failed attempt: another server, the response that the server gave, or an error.
+void follow_failure(gateway_board& board, gateway_request& it, request_attempt& attempt) {
+    count(board, "attempts_failed_total");
+    write_event(board.log, "attempt_failed",
+                {{"request", it.id},
+                 {"server", attempt.server.text},
+                 {"status", static_cast<std::int64_t>(attempt.status)},
+                 {"not_run", attempt.not_run},
+                 {"cause", attempt.failure},
+                 {"after_ms", to_milliseconds(boot_clock::now() - attempt.started)}});
+    it.last_failure = attempt.failure;
+    it.may_have_run = it.may_have_run || !attempt.not_run;
+    if (it.exchange == nullptr || other_in_progress(it)) {
+        return;
+    }
+    if (may_repeat(board, it, attempt.not_run)) {
+        auto& pool = board.services[it.service].pool;
+        const auto index = choose_server(pool, tried_servers(it), boot_clock::now(), board.random);
+        if (index) {
+            count(board, "retries_total");
+            start_attempt(board, it, pool.servers[*index]);
+            return;
+        }
+    }
+    const bool complete = attempt.status != 0 && attempt.failure.empty();
+    if (complete) {
+        respond_with(board, it, attempt);
+        return;
+    }
+    respond_own(board, it,
+                {it.may_have_run ? status_bad_gateway : status_unavailable,
+                 "no server gave a usable response: " + attempt.failure, connect_timeout});
+}
+
+void take_response_head(gateway_board& board, gateway_request& it, request_attempt& attempt, unsigned status,
+                        const http_headers& headers) {
+    const auto* id = find_header(headers, board.dialect.names.request_id);
+    if (id != nullptr && *id != it.id) {
+        // The response to an earlier request arrived late; what follows on this connection is not known.
+        board.servers->cancel(attempt.transfer);
+        attempt.failure = "response belongs to another request";
+        settle(board, it, attempt, attempt_end::failed);
+        follow_failure(board, it, attempt);
+        return;
+    }
+    attempt.head_arrived = true;
+    attempt.status = status;
+    attempt.headers = headers;
+    const auto usual = board.services[it.service].pool.latency_estimate;
+    const auto facts = board.dialect.read_response(status, headers, usual);
+    attempt.not_run = facts.not_run;
+    attempt.report = facts.report;
+    if (const auto* length = find_header(headers, "Content-Length")) {
+        attempt.length = std::strtoull(length->c_str(), nullptr, 10);
+    }
+}
+
+bool take_response_body(gateway_board& board, gateway_request& it, request_attempt& attempt,
+                        std::string_view data) {
+    if (it.streaming == &attempt) {
+        if (it.exchange == nullptr) {
+            return true;
+        }
+        if (it.exchange->writable_bytes() == 0) {
+            return false;
+        }
+        it.exchange->write(data);
+        return true;
+    }
+    attempt.body.append(data);
+    if (attempt.body.size() > max_held_response && it.streaming == nullptr && it.exchange != nullptr) {
+        begin_streaming(board, it, attempt);
+    }
+    return true;
+}
+
+attempt_end end_of(const request_attempt& attempt, const transfer_result& end) {
+    if (end.failure == transfer_failure::timeout) {
+        return attempt_end::timed_out;
+    }
+    if (end.failure != transfer_failure::none) {
+        return attempt_end::failed;
+    }
+    if (attempt.not_run) {
+        return attempt_end::shed;
+    }
+    return attempt.status >= first_server_error ? attempt_end::failed : attempt_end::answered;
+}
+
+void finish_stream(gateway_board& board, gateway_request& it, const request_attempt& attempt) {
+    if (it.exchange == nullptr) {
+        return;
+    }
+    if (attempt.failure.empty()) {
+        it.exchange->finish();
+        count(board, "streamed_total");
+    } else {
+        respond_own(board, it, {status_bad_gateway, "response broke off: " + attempt.failure, {}});
+    }
+}
+
+void take_response_end(gateway_board& board, gateway_request& it, request_attempt& attempt,
+                       const transfer_result& end) {
+    if (!attempt.in_progress) {
+        return;
+    }
+    if (end.failure != transfer_failure::none) {
+        attempt.failure = end.detail.empty() ? "transfer failed" : end.detail;
+        attempt.not_run = !end.sent;
+    }
+    settle(board, it, attempt, end_of(attempt, end));
+    if (it.streaming == &attempt) {
+        finish_stream(board, it, attempt);
+        return;
+    }
+    const bool usable = attempt.failure.empty() && !attempt.not_run && attempt.status < first_server_error;
+    if (!usable) {
+        follow_failure(board, it, attempt);
+    } else if (it.exchange != nullptr && it.streaming == nullptr) {
+        respond_with(board, it, attempt);
+    }
+}
+
+transfer_handlers attempt_handlers(gateway_board& board, request_number number, request_attempt* attempt) {
+    // A request may end while one of its transfers still reports; it is looked up at each callback.
+    const auto with = [&board, number, attempt](auto action) {
+        auto* it = find_request(board, number);
+        auto* found = it == nullptr ? nullptr : find_attempt(*it, attempt);
+        if (found != nullptr && found->in_progress) {
+            action(*it, *found);
+        }
+    };
+    transfer_handlers handlers;
+    handlers.on_head = [&board, with](unsigned status, const http_headers& headers) {
+        with([&](gateway_request& it, request_attempt& found) {
+            take_response_head(board, it, found, status, headers);
+        });
+    };
+    handlers.on_body = [&board, with](std::string_view data) {
+        bool taken = true;
+        with([&](gateway_request& it, request_attempt& found) {
+            taken = take_response_body(board, it, found, data);
+        });
+        return taken;
+    };
+    handlers.on_done = [&board, with](const transfer_result& end) {
+        with([&](gateway_request& it, request_attempt& found) { take_response_end(board, it, found, end); });
+    };
+    return handlers;
+}
+
+void start_attempt(gateway_board& board, gateway_request& it, server_view& view) {
+    const auto now = boot_clock::now();
+    auto& attempt = *it.attempts.emplace_back(std::make_unique<request_attempt>());
+    attempt.server = view.listed.id;
+    attempt.server_address = view.listed.address.text;
+    attempt.started = now;
+    note_dispatch(view, now);
+    http_request request;
+    request.method = it.exchange->method();
+    request.address = view.listed.address;
+    request.target = it.exchange->target();
+    request.headers = request_headers(board, it, attempt, now);
+    request.has_body = it.has_body;
+    request.body = it.body;
+    request.timeout = it.final_at - now + transfer_margin;
+    request.connect_timeout = connect_timeout;
+    request.accepts_unframed = true;
+    attempt.transfer = board.servers->start(std::move(request), attempt_handlers(board, it.number, &attempt));
+}
+
+} // namespace
+
+void dispatch(gateway_board& board, gateway_request& it) {
+    const auto now = boot_clock::now();
+    const auto found = board.services.find(it.service);
+    if (found == board.services.end()) {
+        respond_own(board, it, {status_unavailable, "service is not known", connect_timeout});
+        return;
+    }
+    auto& service = found->second;
+    note_first_attempt(service.retries, board.conf.retry_ratio * used_budget);
+    const auto index = choose_server(service.pool, {}, now, board.random);
+    if (!index) {
+        respond_own(board, it, {status_unavailable, "no server can take the request", connect_timeout});
+        return;
+    }
+    start_attempt(board, it, service.pool.servers[*index]);
+}
+
+void dispatch_again(gateway_board& board, gateway_request& it) {
+    auto& pool = board.services[it.service].pool;
+    const auto index = choose_server(pool, tried_servers(it), boot_clock::now(), board.random);
+    if (index && may_repeat(board, it, false)) {
+        count(board, "hedges_total");
+        start_attempt(board, it, pool.servers[*index]);
+    }
+}
+
+void cancel_attempts(gateway_board& board, gateway_request& it) {
+    for (auto& attempt : it.attempts) {
+        if (attempt->in_progress) {
+            board.servers->cancel(attempt->transfer);
+            settle(board, it, *attempt, attempt_end::cancelled);
+        }
+    }
+}
+
+} // namespace endivelever
--- /dev/null
+++ b/src/gateway/gateway_process.cpp
@@ -0,0 +1,172 @@
+#include "endivelever/gateway/gateway_process.hpp"
+
+#include "endivelever/gateway/controllers.hpp"
+#include "endivelever/net/datagram_socket.hpp"
+#include "endivelever/net/event_loop.hpp"
+
+#include <ev.h>
+
+namespace endivelever {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration review_interval = 20ms;
+constexpr duration status_check_interval = 50ms;
+constexpr duration store_check_interval = 2s;
+constexpr duration stop_check_interval = 100ms;
+// Callers keep an address answer for its time, some of them three times as long.
+constexpr int address_keep_factor = 3;
+// The process ends this long before it would be killed.
+constexpr duration stop_margin = 500ms;
+constexpr std::uint32_t control_connections = 256;
+
+http_server::options caller_options(const gateway_settings& conf) {
+    http_server::options opts;
+    opts.max_connections = conf.max_connections;
+    return opts;
+}
+
+http_server::options control_options() {
+    http_server::options opts;
+    opts.max_connections = control_connections;
+    return opts;
+}
+
+} // namespace
+
+struct gateway_process::state {
+    gateway_board board;
+    std::unique_ptr<timer> review_timer;
+    std::unique_ptr<timer> status_timer;
+    std::unique_ptr<timer> store_timer;
+    std::unique_ptr<timer> stop_timer;
+
+    error open_listeners();
+    void start_timers();
+    void check_stop();
+};
+
+error gateway_process::state::open_listeners() {
+    const auto listen = [this](std::unique_ptr<http_server>& target, const socket_address& address,
+                               const http_server::options& opts, http_server::handlers handlers) -> error {
+        auto opened = http_server::open(board.loop, address, opts, std::move(handlers));
+        if (!opened) {
+            return opened.error();
+        }
+        target = std::move(*opened);
+        return {};
+    };
+    const auto& conf = board.conf;
+    error failure = listen(board.callers, conf.caller_address, caller_options(conf), caller_handlers(board));
+    if (failure.id == 0) {
+        failure = listen(board.ready, conf.ready_address, control_options(), ready_handlers(board));
+    }
+    if (failure.id == 0) {
+        failure = listen(board.lookup, conf.lookup_address, control_options(), lookup_handlers(board));
+    }
+    if (failure.id == 0 && !conf.metrics_address.empty()) {
+        failure = listen(board.metrics, conf.metrics_address, control_options(), metrics_handlers(board));
+    }
+    if (failure.id != 0) {
+        return failure;
+    }
+    auto socket =
+        datagram_socket::open(board.loop, conf.peer_address, [this](std::span<const std::uint8_t> payload) {
+            receive_status(board, payload);
+        });
+    if (!socket) {
+        return socket.error();
+    }
+    board.peer_socket = std::move(*socket);
+    return {};
+}
+
+void gateway_process::state::start_timers() {
+    review_timer = std::make_unique<timer>(board.loop, [this] { review(board); });
+    review_timer->start(review_interval, review_interval);
+    status_timer = std::make_unique<timer>(board.loop, [this] { send_status(board); });
+    status_timer->start(status_check_interval, status_check_interval);
+    store_timer = std::make_unique<timer>(board.loop, [this] {
+        check_store(board);
+        update_pools(board);
+    });
+    store_timer->start(store_check_interval, store_check_interval);
+    stop_timer = std::make_unique<timer>(board.loop, [this] { check_stop(); });
+}
+
+void gateway_process::state::check_stop() {
+    const auto spent = boot_clock::now() - board.stop_began;
+    const bool answers_expired = spent >= address_keep_factor * board.conf.address_keep + 200ms;
+    const bool out_of_time = spent >= board.conf.stop_limit - stop_margin;
+    if (answers_expired) {
+        board.callers->stop_accepting();
+    }
+    if ((answers_expired && board.callers->open_exchanges() == 0) || out_of_time) {
+        write_event(board.log, "stopped",
+                    {{"open_requests", static_cast<std::int64_t>(board.requests.size())},
+                     {"after_ms", to_milliseconds(spent)}});
+        ev_break(board.loop, EVBREAK_ALL);
+    }
+}
+
+gateway_process::gateway_process(std::unique_ptr<state> it) : m_state(std::move(it)) {}
+
+gateway_process::~gateway_process() = default;
+
+result<std::unique_ptr<gateway_process>> gateway_process::open(struct ev_loop* loop, gateway_settings conf,
+                                                               gateway_dialect dialect) {
+    auto it = std::make_unique<state>();
+    auto& board = it->board;
+    board.conf = std::move(conf);
+    board.dialect = std::move(dialect);
+    board.loop = loop;
+    board.random = make_random_source();
+    board.life = incarnation{static_cast<std::uint64_t>(wall_clock_us())};
+    board.log.vm = board.conf.vm.text;
+    board.servers = std::make_unique<http_client>(loop, 0);
+    board.store = std::make_unique<http_client>(loop, 0);
+    if (auto failure = it->open_listeners(); failure.id != 0) {
+        return tl::unexpected<error>(std::move(failure));
+    }
+    start_store(board);
+    it->start_timers();
+    write_event(board.log, "started",
+                {{"callers", board.conf.caller_address.text},
+                 {"store", board.conf.store_address.text},
+                 {"life", static_cast<std::int64_t>(board.life.value)}});
+    return std::unique_ptr<gateway_process>(new gateway_process(std::move(it)));
+}
+
+void gateway_process::stop() {
+    auto& board = m_state->board;
+    if (board.stopping) {
+        return;
+    }
+    board.stopping = true;
+    board.stop_began = boot_clock::now();
+    write_event(board.log, "stopping", {{"open_requests", static_cast<std::int64_t>(board.requests.size())}});
+    board.callers->announce_close();
+    for (auto& it : board.peers.peers) {
+        it.second.last_sent = {};
+    }
+    send_status(board);
+    m_state->stop_timer->start(stop_check_interval, stop_check_interval);
+}
+
+void gateway_process::reload(const gateway_settings& conf) {
+    auto& board = m_state->board;
+    board.conf.address_keep = conf.address_keep;
+    board.conf.stop_limit = conf.stop_limit;
+    board.conf.retry_ratio = conf.retry_ratio;
+    board.conf.retry_allowance = conf.retry_allowance;
+    board.conf.probes_per_server_per_second = conf.probes_per_server_per_second;
+    write_event(board.log, "settings_reloaded", {});
+    update_pools(board);
+}
+
+gateway_board& gateway_process::board() {
+    return m_state->board;
+}
+
+} // namespace endivelever
--- /dev/null
+++ b/src/gateway/knowledge.cpp
@@ -0,0 +1,286 @@
+#include "endivelever/decide/observe.hpp"
+#include "endivelever/gateway/controllers.hpp"
+
+#include <algorithm>
+
+namespace endivelever {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration check_deadline = 800ms;
+constexpr byte_count max_check_reply{4UL << 20U};
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_conflict = 409;
+// Part of the platform's retry allowance that is handed out: VMs that restart begin with a new share.
+constexpr double used_allowance = 0.5;
+
+void note_answer(gateway_board& board) {
+    if (board.registry.store_is_away) {
+        write_event(board.log, "store_regained", {});
+    }
+    note_store_answer(board.registry, boot_clock::now());
+}
+
+void note_failure(gateway_board& board, const object_kind& kind, const std::string& cause) {
+    if (!board.registry.store_is_away) {
+        write_event(board.log, "store_lost", {{"kind", kind.text}, {"cause", cause}});
+    }
+    count(board, "store_failures_total");
+    note_store_away(board.registry);
+}
+
+void apply_routing(gateway_board& board, const stored_object& object, store_revision revision) {
+    auto config = board.dialect.read_routing(object.content);
+    if (!config) {
+        write_event(board.log, "routing_rejected",
+                    {{"object", object.name}, {"cause", config.error().message}});
+        return;
+    }
+    if (board.routes != nullptr && config->version <= board.routes->config.version) {
+        return;
+    }
+    const bool had_routes = board.routes != nullptr;
+    const auto old_version = had_routes ? board.routes->config.version.value : 0;
+    board.routing_revision = revision;
+    board.routes = make_route_table(std::move(*config));
+    write_event(board.log, "routing_applied",
+                {{"version", static_cast<std::int64_t>(board.routes->config.version.value)},
+                 {"replaces", static_cast<std::int64_t>(old_version)},
+                 {"routes", static_cast<std::int64_t>(board.routes->config.routes.size())},
+                 {"store_revision", static_cast<std::int64_t>(revision.value)}});
+    update_pools(board);
+    if (!had_routes) {
+        send_status(board);
+    }
+}
+
+object_reflector::handlers routing_handlers(gateway_board& board) {
+    object_reflector::handlers handlers;
+    const auto is_in_force = [&board](const stored_object& it) {
+        return it.name == board.dialect.routing_object;
+    };
+    handlers.on_list = [&board, is_in_force](const std::vector<stored_object>& objects, store_revision at) {
+        for (const auto& it : objects) {
+            if (is_in_force(it)) {
+                apply_routing(board, it, at);
+            }
+        }
+    };
+    handlers.on_changes = [&board, is_in_force](const std::vector<object_change>& changes,
+                                                store_revision at) {
+        for (const auto& it : changes) {
+            if (!it.removed && is_in_force(it.object)) {
+                apply_routing(board, it.object, at);
+            }
+        }
+    };
+    handlers.on_answer = [&board] { note_answer(board); };
+    handlers.on_failure = [&board](const std::string& cause) {
+        note_failure(board, board.dialect.routing_kind, cause);
+    };
+    return handlers;
+}
+
+/// An entry that cannot be read names no server to use; a server that was known under its name stays as it
+/// was.
+std::optional<registered_server> readable(gateway_board& board, const stored_object& object) {
+    auto server = board.dialect.read_server(object.name, object.content);
+    if (server) {
+        return std::move(*server);
+    }
+    count(board, "server_entries_unreadable_total");
+    write_event(board.log, "server_entry_unreadable",
+                {{"server", object.name}, {"cause", server.error().message}});
+    return std::nullopt;
+}
+
+void log_server(gateway_board& board, const registered_server& it, std::string_view source) {
+    write_event(board.log, "server_entry",
+                {{"server", it.id.text},
+                 {"service", it.service.text},
+                 {"address", it.address.text},
+                 {"draining", it.draining},
+                 {"source", source}});
+}
+
+void take_server_list(gateway_board& board, const std::vector<stored_object>& objects, store_revision at) {
+    std::vector<registered_server> listed;
+    listed.reserve(objects.size());
+    for (const auto& it : objects) {
+        if (auto server = readable(board, it)) {
+            listed.push_back(std::move(*server));
+        }
+    }
+    apply_listed(board.registry, listed, boot_clock::now());
+    board.servers_revision = at;
+    write_event(board.log, "servers_listed",
+                {{"entries", static_cast<std::int64_t>(listed.size())},
+                 {"store_revision", static_cast<std::int64_t>(at.value)}});
+    update_pools(board);
+}
+
+void take_server_changes(gateway_board& board, const std::vector<object_change>& changes, store_revision at) {
+    for (const auto& it : changes) {
+        if (it.removed) {
+            write_event(board.log, "server_entry_removed",
+                        {{"server", it.object.name},
+                         {"store_revision", static_cast<std::int64_t>(it.object.changed_at.value)}});
+            apply_removed(board.registry, server_id(it.object.name), boot_clock::now());
+        } else if (const auto server = readable(board, it.object)) {
+            log_server(board, *server, "watch");
+            apply_changed(board.registry, *server);
+        } else {
+            apply_removed(board.registry, server_id(it.object.name), boot_clock::now());
+        }
+    }
+    board.servers_revision = at;
+    update_pools(board);
+}
+
+object_reflector::handlers server_handlers(gateway_board& board) {
+    object_reflector::handlers handlers;
+    handlers.on_list = [&board](const std::vector<stored_object>& objects, store_revision at) {
+        take_server_list(board, objects, at);
+    };
+    handlers.on_changes = [&board](const std::vector<object_change>& changes, store_revision at) {
+        take_server_changes(board, changes, at);
+    };
+    handlers.on_answer = [&board] { note_answer(board); };
+    handlers.on_failure = [&board](const std::string& cause) {
+        note_failure(board, board.dialect.server_kind, cause);
+    };
+    return handlers;
+}
+
+listed_server to_listed(const registered_server& it, std::uint32_t connections) {
+    return {it.id,       it.service,  it.failure_domain, it.address, it.slots,
+            connections, it.draining, it.warm_up_left,   it.start_ms};
+}
+
+void update_pool(gateway_board& board, const routed_service& conf, time_point now) {
+    auto& service = board.services[conf.id];
+    service.in_config = true;
+    auto& pool = service.pool;
+    pool.service.id = conf.id;
+    pool.service.connections_per_server = conf.max_connections;
+    pool.own_domain = board.conf.failure_domain;
+    pool.own_vm = board.conf.vm;
+    std::vector<listed_server> listed;
+    for (const auto& it : servers_of(board.registry, conf.id)) {
+        listed.push_back(to_listed(it, conf.max_connections));
+    }
+    const auto vms = serving_vms(board.peers, board.pacing, now);
+    update_servers(pool, listed, {}, vms, now);
+    const auto known = static_cast<double>(std::max<std::size_t>(board.peers.most_known, vms));
+    const double share = board.peers.loaded ? used_allowance * board.conf.retry_allowance / known : 0.0;
+    if (service.retries.max_tokens == 0.0) {
+        service.retries.tokens = share / 2;
+    }
+    service.retries.max_tokens = share;
+}
+
+/// Content of this VM's registration.
+nlohmann::json own_record(const gateway_board& board) {
+    return {{"failure_domain", board.conf.failure_domain.text},
+            {"caller_address", board.conf.caller_address.text},
+            {"peer_address", board.conf.peer_address.text}};
+}
+
+std::string text_of(const nlohmann::json& object, const char* key) {
+    const auto found = object.find(key);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+void take_vm_list(gateway_board& board, const object_page& page) {
+    std::vector<registered_vm> listed;
+    for (const auto& it : page.objects) {
+        if (it.content.is_object() && !text_of(it.content, "peer_address").empty()) {
+            listed.push_back({vm_id(it.name), failure_domain(text_of(it.content, "failure_domain")),
+                              text_of(it.content, "caller_address"), text_of(it.content, "peer_address")});
+        }
+    }
+    const bool first = !board.peers.loaded;
+    apply_registered(board.peers, listed, board.conf.vm);
+    if (first) {
+        update_pools(board);
+        send_status(board);
+    }
+}
+
+void send_check(gateway_board& board, http_request request, std::function<void(const http_reply&)> on_reply) {
+    request.timeout = check_deadline;
+    ++board.store_access.counts.calls;
+    fetch(*board.store, std::move(request), max_check_reply, std::move(on_reply));
+}
+
+void register_own(gateway_board& board) {
+    auto request = board.dialect.store.create(board.dialect.vm_kind, board.conf.vm.text, own_record(board));
+    send_check(board, std::move(request), [&board](const http_reply& reply) {
+        if (reply.end.status != status_conflict) {
+            board.registered = reply.end.failure == transfer_failure::none && reply.end.status < 300;
+            return;
+        }
+        // An earlier life of this VM registered, or the answer to an earlier call was lost.
+        auto again =
+            board.dialect.store.replace(board.dialect.vm_kind, board.conf.vm.text, own_record(board));
+        send_check(board, std::move(again), [&board](const http_reply& second) {
+            board.registered = second.end.failure == transfer_failure::none && second.end.status < 300;
+        });
+    });
+}
+
+} // namespace
+
+void start_store(gateway_board& board) {
+    board.store_access.loop = board.loop;
+    board.store_access.client = board.store.get();
+    board.store_access.random = &board.random;
+    board.store_access.protocol = board.dialect.store;
+    board.routing_reflector = std::make_unique<object_reflector>(
+        board.store_access, board.dialect.routing_kind, routing_handlers(board));
+    board.server_reflector = std::make_unique<object_reflector>(board.store_access, board.dialect.server_kind,
+                                                                server_handlers(board));
+    check_store(board);
+}
+
+void check_store(gateway_board& board) {
+    if (!board.registered) {
+        register_own(board);
+    }
+    // A fresh list is needed once; afterwards peers tell about themselves and an old one does.
+    auto request = board.peers.loaded ? board.dialect.store.list_stale(board.dialect.vm_kind)
+                                      : board.dialect.store.list(board.dialect.vm_kind, "");
+    send_check(board, std::move(request), [&board](const http_reply& reply) {
+        const bool answered = reply.end.failure == transfer_failure::none && reply.end.status == status_ok;
+        const auto page = answered ? board.dialect.store.parse_page(reply.body)
+                                   : result<object_page>(fail("gateway", 1, "store did not answer"));
+        if (!page) {
+            board.check_failed = true;
+            return;
+        }
+        take_vm_list(board, *page);
+        if (board.check_failed) {
+            // Watches that were open during the outage may never be answered.
+            board.check_failed = false;
+            board.routing_reflector->list_again();
+            board.server_reflector->list_again();
+        }
+    });
+}
+
+void update_pools(gateway_board& board) {
+    if (board.routes == nullptr) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    for (auto& it : board.services) {
+        it.second.in_config = false;
+    }
+    for (const auto& it : board.routes->config.services) {
+        update_pool(board, it, now);
+    }
+    std::erase_if(board.services, [](const auto& it) { return !it.second.in_config; });
+}
+
+} // namespace endivelever
--- /dev/null
+++ b/src/gateway/respond.cpp
@@ -0,0 +1,137 @@
+#include "endivelever/gateway/controllers.hpp"
+
+#include <array>
+#include <cstdio>
+
+namespace endivelever {
+namespace {
+
+constexpr unsigned status_request_timeout = 408;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+
+/// Statuses by which callers conclude that the request has not run.
+bool promises_not_run(unsigned status) {
+    return status == status_request_timeout || status == status_misdirected || status == status_too_many ||
+           status == status_unavailable;
+}
+
+bool may_have_run(const gateway_request& it) {
+    if (it.may_have_run) {
+        return true;
+    }
+    for (const auto& attempt : it.attempts) {
+        if (attempt->in_progress || !attempt->not_run) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::string seconds_text(duration value) {
+    std::array<char, 32> buf{};
+    std::snprintf(buf.data(), buf.size(), "%.3f", to_seconds(value));
+    return buf.data();
+}
+
+std::string first_digit(unsigned status) {
+    return std::to_string(status / 100) + "xx";
+}
+
+void note_end(gateway_board& board, const gateway_request& it, unsigned status, const char* source) {
+    const auto spent = boot_clock::now() - it.arrived;
+    record(board.latency, spent);
+    std::string series = "responses_total{source=\"";
+    series += source;
+    series += "\",status=\"" + first_digit(status) + "\"}";
+    count(board, series);
+}
+
+http_headers passed_on(const request_attempt& attempt) {
+    return end_to_end_headers(attempt.headers, {});
+}
+
+} // namespace
+
+void respond_own(gateway_board& board, gateway_request& it, const own_response& response) {
+    if (it.exchange == nullptr) {
+        forget(board, it);
+        return;
+    }
+    const bool unproven = promises_not_run(response.status) && may_have_run(it);
+    const auto status = unproven ? status_bad_gateway : response.status;
+    note_end(board, it, status, "gateway");
+    write_event(
+        board.log, "own_response",
+        {{"request", it.id},
+         {"status", static_cast<std::int64_t>(status)},
+         {"reason", response.reason},
+         {"service", it.service.text},
+         {"route", it.rule == nullptr ? std::string_view("") : std::string_view(it.rule->id.text)},
+         {"attempts", static_cast<std::int64_t>(it.attempts.size())},
+         {"may_have_run", may_have_run(it)},
+         {"routing_version",
+          it.table == nullptr ? std::int64_t{0} : static_cast<std::int64_t>(it.table->config.version.value)},
+         {"retry_after_ms", to_milliseconds(response.retry_after)},
+         {"age_ms", to_milliseconds(boot_clock::now() - it.arrived)}});
+    auto& exchange = *it.exchange;
+    const bool streaming = it.streaming != nullptr;
+    http_headers headers{{"Content-Type", "application/json"}};
+    if (!it.id.empty()) {
+        headers.push_back({board.dialect.names.request_id, it.id});
+    }
+    if (response.retry_after > duration::zero() && promises_not_run(status)) {
+        headers.push_back({"Retry-After", seconds_text(response.retry_after)});
+    }
+    exchange.context = nullptr;
+    it.exchange = nullptr;
+    std::string body = "{\"error\":" + json_quoted(response.reason) + "}\n";
+    forget(board, it);
+    if (streaming) {
+        exchange.abort();
+    } else {
+        exchange.respond(status, headers, std::move(body));
+    }
+}
+
+void respond_with(gateway_board& board, gateway_request& it, request_attempt& attempt) {
+    auto& exchange = *it.exchange;
+    if (promises_not_run(attempt.status) && (!attempt.not_run || it.may_have_run)) {
+        // The server ran the request, or may have, and answered with a status that denies it.
+        respond_own(board, it, {status_bad_gateway, "server failed with an unusable status", {}});
+        return;
+    }
+    note_end(board, it, attempt.status, "server");
+    const auto headers = passed_on(attempt);
+    const auto status = attempt.status;
+    auto body = std::move(attempt.body);
+    exchange.context = nullptr;
+    it.exchange = nullptr;
+    forget(board, it);
+    exchange.respond(status, headers, std::move(body));
+}
+
+void begin_streaming(gateway_board& board, gateway_request& it, request_attempt& attempt) {
+    it.streaming = &attempt;
+    for (auto& other : it.attempts) {
+        if (other.get() != &attempt && other->in_progress) {
+            board.servers->cancel(other->transfer);
+        }
+    }
+    note_end(board, it, attempt.status, "server");
+    it.exchange->begin_response(attempt.status, passed_on(attempt), attempt.length);
+    it.exchange->write(attempt.body);
+    attempt.body = {};
+}
+
+void forget(gateway_board& board, gateway_request& it) {
+    cancel_attempts(board, it);
+    if (it.exchange != nullptr) {
+        it.exchange->context = nullptr;
+    }
+    board.requests.erase(it.number);
+}
+
+} // namespace endivelever
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,6 +2,9 @@
 
 #include "http_client_core.hpp"
 
+#include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -10,10 +13,25 @@
 namespace {
 
 constexpr long max_cached_connections = 8192;
-constexpr std::size_t max_idle_handles = 1024;
+constexpr std::size_t max_idle_handles = 32;
 constexpr duration longest_check_gap = std::chrono::milliseconds(50);
 constexpr duration progress_check_interval = std::chrono::milliseconds(10);
 
+constexpr int keep_alive_probes = 2;
+
+void set_keep_alive(int fd, duration interval) {
+    if (interval <= duration::zero()) {
+        return;
+    }
+    const int on = 1;
+    const int seconds =
+        std::max(1, static_cast<int>(std::chrono::duration_cast<std::chrono::seconds>(interval).count()));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &keep_alive_probes, sizeof keep_alive_probes);
+}
+
 } // namespace
 
 client_core::client_core(struct ev_loop* event_loop, std::uint32_t max_connections_per_address)
@@ -86,12 +104,19 @@
     }
 }
 
+void client_socket::watch_while_idle(struct ev_loop* loop) {
+    ev_io_stop(loop, &watcher);
+    ev_io_set(&watcher, watcher.fd, EV_READ);
+    ev_io_start(loop, &watcher);
+}
+
 void client_core::mark_idle(CURL* easy) {
     curl_socket_t fd = CURL_SOCKET_BAD;
     curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &fd);
     const auto found = sockets.find(fd);
     if (found != sockets.end()) {
         found->second->busy = false;
+        found->second->watch_while_idle(loop);
     }
 }
 
@@ -101,6 +126,7 @@
     if (fd < 0) {
         return CURL_SOCKET_BAD;
     }
+    set_keep_alive(fd, it.request.keep_alive_interval);
     auto opened = std::make_unique<client_socket>();
     opened->core = it.core;
     opened->address = it.request.address.text;
@@ -156,7 +182,14 @@
 }
 
 void client_core::on_ready(struct ev_loop* /*loop*/, ev_io* watcher, int events) {
-    auto& self = *static_cast<client_socket*>(watcher->data)->core;
+    const auto& socket = *static_cast<client_socket*>(watcher->data);
+    auto& self = *socket.core;
+    if (!socket.busy) {
+        // libcurl finds the socket closed when it looks for a connection to reuse.
+        ev_io_stop(self.loop, watcher);
+        shutdown(watcher->fd, SHUT_RDWR);
+        return;
+    }
     const int flags =
         ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) | ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
     self.socket_action(watcher->fd, flags);
--- a/src/net/http_client_core.hpp
+++ b/src/net/http_client_core.hpp
@@ -17,6 +17,9 @@
     client_core* core = nullptr;
     std::string address;
     bool busy = true;
+
+    /// Closes the connection as soon as anything arrives on it: no response is due there.
+    void watch_while_idle(struct ev_loop* loop);
 };
 
 /// State of a client: libcurl's multi handle driven by the loop.
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <charconv>
 #include <cstring>
-#include <strings.h>
 #include <sys/socket.h>
 
 namespace endivelever::detail {
@@ -16,10 +15,6 @@
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_header_too_large = 431;
 
-bool same_name(std::string_view left, std::string_view right) {
-    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-}
-
 /// Headers that libmicrohttpd writes itself.
 bool is_framing(std::string_view name) {
     return same_name(name, "Content-Length") || same_name(name, "Transfer-Encoding") ||
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -32,6 +32,7 @@
     std::unique_ptr<timer> timeout;
     std::unique_ptr<detail::deferred_call> run_later;
     std::size_t open = 0;
+    bool quiesced = false;
 
     ~state();
     error start(int listen_fd);
@@ -234,10 +235,15 @@
     return m_state->open;
 }
 
+void http_server::announce_close() {
+    m_state->core.stopping = true;
+}
+
 void http_server::stop_accepting() {
-    if (m_state->core.stopping) {
+    if (m_state->quiesced) {
         return;
     }
+    m_state->quiesced = true;
     m_state->core.stopping = true;
     const auto fd = MHD_quiesce_daemon(m_state->daemon);
     if (fd != MHD_INVALID_SOCKET) {
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -41,7 +41,7 @@
         return true;
     }
     it.head_done = true;
-    it.unframed_body = !has_framed_body(it);
+    it.unframed_body = !it.request.accepts_unframed && !has_framed_body(it);
     if (it.unframed_body) {
         return false;
     }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -85,9 +85,26 @@
         .Union();
 }
 
+Offset<void> pack_body(FlatBufferBuilder& out, const gateway_status_message& value) {
+    const auto vm = out.CreateString(value.vm.text);
+    const auto domain = out.CreateString(value.failure_domain.text);
+    const auto caller = out.CreateString(value.caller_address);
+    const auto peer = out.CreateString(value.peer_address);
+    std::vector<fb::ServerLoad> loads;
+    loads.reserve(value.loads.size());
+    for (const auto& it : value.loads) {
+        loads.emplace_back(it.server_key, it.running, it.queued, it.slowdown_percent, it.age_ms);
+    }
+    return fb::CreateGatewayStatus(out, vm, value.life.value, value.sequence, to_fb(value.state), domain,
+                                   caller, peer, value.routing_version, value.routing_revision,
+                                   value.servers_revision, out.CreateVectorOfStructs(loads))
+        .Union();
+}
+
 fb::Body body_type(const message& value) {
-    static constexpr std::array types{fb::Body::Hello,       fb::Body::Heartbeat, fb::Body::Document,
-                                      fb::Body::MemberTable, fb::Body::Lease,     fb::Body::EntryReport};
+    static constexpr std::array types{fb::Body::Hello,        fb::Body::Heartbeat, fb::Body::Document,
+                                      fb::Body::MemberTable,  fb::Body::Lease,     fb::Body::EntryReport,
+                                      fb::Body::GatewayStatus};
     static_assert(types.size() == std::variant_size_v<message>);
     return types.at(value.index());
 }
@@ -206,6 +223,27 @@
                                 in.list(value->draining(), wire_limits::servers, "draining", server)};
 }
 
+message unpack(reader& in, const fb::GatewayStatus* value) {
+    if (!known(value->state())) {
+        in.within(1, 0, "gateway state");
+    }
+    const auto load = [](const fb::ServerLoad* it) {
+        return server_load{it->server_key(), it->running(), it->queued(), it->slowdown_percent(),
+                           it->age_ms()};
+    };
+    return gateway_status_message{vm_id(in.name(value->vm())),
+                                  incarnation{value->life()},
+                                  value->sequence(),
+                                  from_fb(value->state()),
+                                  failure_domain(in.name(value->failure_domain())),
+                                  in.name(value->caller_address()),
+                                  in.name(value->peer_address()),
+                                  value->routing_version(),
+                                  value->routing_revision(),
+                                  value->servers_revision(),
+                                  in.list(value->loads(), wire_limits::servers, "loads", load)};
+}
+
 result<message> unpack(reader& in, const fb::Envelope* value) {
     switch (value->body_type()) {
     case fb::Body::Hello:
@@ -220,6 +258,8 @@
         return lease_message{value->body_as_Lease()->valid_ms()};
     case fb::Body::EntryReport:
         return unpack(in, value->body_as_EntryReport());
+    case fb::Body::GatewayStatus:
+        return unpack(in, value->body_as_GatewayStatus());
     case fb::Body::NONE:
         break;
     }
