Ask servers for their load right before a request is sent

Cause: a server's speed changes by a factor of four about every 300 ms. Reports of earlier responses are older than that at 26 requests a second and VM, so 17 in 100 status requests met a slow server. Change: two servers are asked on their health path, up to eight in three rounds until one is good; a silent server is passed over for half a second. Requests that may be repeated are sent to a second server when its response would still come within the latency target. Load reports in peer datagrams are dropped.

--- a/include/endivelever/decide/retry.hpp
+++ b/include/endivelever/decide/retry.hpp
@@ -34,6 +34,14 @@
 /// Decides on a retry and takes a token if it is allowed.
 bool allow_retry(retry_budget& budget, const failed_attempt& attempt);
 
+/// True if a request that may be repeated should be sent to a second server although the first one may still
+/// answer: a response of the second one would come within the latency target, or the first one seems stuck.
+/// @param age     time since the request was sent
+/// @param spent   time since it arrived
+/// @param usual   median time of the service's responses; 0 if not known
+/// @param target  latency target of the route
+bool is_hedge_due(duration age, duration spent, duration usual, duration target);
+
 /// What the caller may be told when the call ends without a complete response.
 /// @return true if "not-run" is certain; otherwise the outcome is unknown
 bool may_say_not_run(const failed_attempt& attempt);
--- a/include/endivelever/decide/server_view.hpp
+++ b/include/endivelever/decide/server_view.hpp
@@ -34,6 +34,7 @@
     time_point warm_since{};
     duration warm_up = std::chrono::seconds(2); ///< length of the ramp that began at warm_since
     time_point last_probe{};
+    time_point silent_at{};         ///< last question about its load that it did not answer in time
     time_point last_answer_at{};    ///< last response of the application
     time_point drain_reported_at{}; ///< last report with the draining mark
     duration report_error{};        ///< smoothed observed latency minus the latency that reports imply
--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -25,15 +25,11 @@
     server_pool pool;
     retry_budget retries{0.0, 0.0};
     histogram response_time; ///< from dispatch to the complete response, successes only
+    duration usual_time{};   ///< median of response_time
+    bool tells_load = true;  ///< false after responses without a load report
     bool in_config = false;
 };
 
-/// A load that this VM learned itself.
-struct timed_load {
-    server_load load;
-    time_point at{};
-};
-
 /// Blackboard of the gateway process. Controllers are free functions that read and write it.
 struct gateway_board {
     gateway_settings conf;
@@ -56,11 +52,11 @@
     peer_table peers;
     peer_pacing pacing;
     std::uint64_t status_sequence = 0;
-    std::unordered_map<std::uint32_t, timed_load> fresh_loads; ///< by server key, since the last status
 
     std::unordered_map<request_number, std::unique_ptr<gateway_request>> requests;
     request_number last_request = 0;
     histogram latency; ///< from the request head to the final response
+    std::uint64_t reviews = 0;
     bool stopping = false;
     time_point stop_began{};
 
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -10,8 +10,19 @@
 /// Sends a request to a server, or refuses it if none can take it.
 void dispatch(gateway_board& board, gateway_request& it);
 
-/// Sends a request that waits for a response to a second server as well, where the route allows it.
-void dispatch_again(gateway_board& board, gateway_request& it);
+/// Sends a request that waits for its response to a second server as well if it is late and its route and the
+/// budget allow it.
+void hedge_if_late(gateway_board& board, gateway_request& it, time_point now);
+
+/// Looks for a server and calls start_attempt() or end_search() when one is chosen or none can be.
+void search_server(gateway_board& board, gateway_request& it, choice_purpose purpose);
+void start_attempt(gateway_board& board, gateway_request& it, server_view& view);
+/// Goes on with a search whose servers did not answer in time.
+void end_round_if_due(gateway_board& board, gateway_request& it, time_point now);
+/// The search found no server that may take the request.
+void end_search(gateway_board& board, gateway_request& it, choice_purpose purpose);
+/// @return servers to which the request was already sent
+std::vector<server_id> tried_servers(const gateway_request& it);
 
 /// Ends all attempts of a request without a response to the caller.
 void cancel_attempts(gateway_board& board, gateway_request& it);
@@ -48,8 +59,6 @@
 // Peers.
 void receive_status(gateway_board& board, std::span<const std::uint8_t> payload);
 void send_status(gateway_board& board);
-/// Keeps a load report for the next status.
-void note_load(gateway_board& board, const server_view& view, const load_report& report);
 
 // Administration.
 http_server::handlers ready_handlers(gateway_board& board);
--- a/include/endivelever/gateway/request.hpp
+++ b/include/endivelever/gateway/request.hpp
@@ -31,6 +31,19 @@
     std::string failure; ///< why it ended without a usable response
 };
 
+/// What a server is chosen for.
+enum class choice_purpose { first, retry, hedge };
+
+/// Search for a server: some are asked for their load, the best answer wins.
+struct server_search {
+    choice_purpose purpose = choice_purpose::first;
+    time_point began{};
+    std::vector<server_id> asked;
+    std::size_t rounds = 0;
+    std::size_t open_questions = 0;
+    time_point round_ends{}; ///< servers that did not answer by then are taken as silent
+};
+
 /// One request of a caller in progress.
 struct gateway_request {
     request_number number = 0;
@@ -45,8 +58,9 @@
     time_point caller_deadline{};
     time_point final_at{}; ///< the final response is due: route's timeout or caller's deadline
     std::vector<std::unique_ptr<request_attempt>> attempts;
-    request_attempt* streaming = nullptr; ///< attempt whose response already goes to the caller
-    bool may_have_run = false;            ///< an attempt ended without proof that it did not run
+    std::unique_ptr<server_search> search; ///< set while a server is looked for
+    request_attempt* streaming = nullptr;  ///< attempt whose response already goes to the caller
+    bool may_have_run = false;             ///< an attempt ended without proof that it did not run
     std::string last_failure;
 };
 
--- a/include/endivelever/wire/messages.hpp
+++ b/include/endivelever/wire/messages.hpp
@@ -83,15 +83,6 @@
     std::vector<server_id> draining;   ///< servers that said they are draining
 };
 
-/// Load of one server as its last response or probe told the sender.
-struct server_load {
-    std::uint32_t server_key = 0; ///< hash of the server's id
-    std::uint16_t running = 0;
-    std::uint16_t queued = 0;
-    std::uint16_t slowdown_percent = 0; ///< 100 is the usual speed; 0 if not reported
-    std::uint16_t age_ms = 0;           ///< at the time of sending
-};
-
 /// Datagram that each gateway VM sends to its peers.
 struct gateway_status_message {
     vm_id vm;
@@ -104,7 +95,6 @@
     std::uint64_t routing_version = 0;  ///< version of the routing configuration in force; 0 if none
     std::uint64_t routing_revision = 0; ///< store revision at which it was read
     std::uint64_t servers_revision = 0; ///< store revision of the server entries; 0 if none
-    std::vector<server_load> loads;
 };
 
 using message = std::variant<hello_message, heartbeat_message, document_message, member_table_message,
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -7,7 +7,7 @@
 #include <unistd.h>
 
 namespace endivelever {
-namespace detail {
+namespace {
 
 // A pipe that polls as writable takes this many bytes without blocking (PIPE_BUF).
 constexpr std::size_t max_line = 4096;
@@ -44,7 +44,7 @@
     return true;
 }
 
-} // namespace detail
+} // namespace
 
 std::string json_quoted(std::string_view text) {
     return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -52,20 +52,20 @@
 
 void write_event(event_log& log, std::string_view event, std::initializer_list<log_field> fields) {
     std::string line = "{\"t\":";
-    detail::append_number(line, "%.3f", static_cast<double>(wall_clock_us()) / 1e6);
+    append_number(line, "%.3f", static_cast<double>(wall_clock_us()) / 1e6);
     line += ",\"vm\":" + json_quoted(log.vm) + ",\"event\":" + json_quoted(event);
     for (const auto& it : fields) {
         line += ",\"";
         line += it.name;
         line += "\":";
-        std::visit(detail::value_writer{line}, it.value);
+        std::visit(value_writer{line}, it.value);
     }
     if (log.dropped != log.reported_dropped) {
         line += ",\"dropped_lines\":" + std::to_string(log.dropped);
     }
     line += "}\n";
-    if (line.size() > detail::max_line || !detail::within_budget(log, line.size()) ||
-        !detail::is_writable(log.fd) ||
+    if (line.size() > max_line || !within_budget(log, line.size()) ||
+        !is_writable(log.fd) ||
         write(log.fd, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
         ++log.dropped;
         return;
--- a/src/decide/peer_table.cpp
+++ b/src/decide/peer_table.cpp
@@ -4,7 +4,7 @@
 #include <set>
 
 namespace endivelever {
-namespace detail {
+namespace {
 
 // A status may be lost; the next two still arrive within the limit.
 constexpr int silent_intervals = 5;
@@ -30,12 +30,12 @@
     }
 }
 
-} // namespace detail
+} // namespace
 
 void apply_registered(peer_table& table, const std::vector<registered_vm>& listed, const vm_id& own) {
     std::set<vm_id> named;
     for (const auto& it : listed) {
-        if (it.vm == own || table.peers.size() >= detail::max_peers) {
+        if (it.vm == own || table.peers.size() >= max_peers) {
             continue;
         }
         named.insert(it.vm);
@@ -55,25 +55,24 @@
         return !it.second.registered && it.second.last_heard == time_point{};
     });
     table.loaded = true;
-    detail::note_known(table);
+    note_known(table);
 }
 
 bool merge_status(peer_table& table, const gateway_status_message& status, const peer_pacing& pacing,
                   time_point now) {
     const auto found = table.peers.find(status.vm);
-    if (found == table.peers.end() && table.peers.size() >= detail::max_peers) {
+    if (found == table.peers.end() && table.peers.size() >= max_peers) {
         return false;
     }
     auto& known = table.peers[status.vm];
     const bool silent =
-        known.last_heard == time_point{} || now - known.last_heard > detail::silence_limit(table, pacing);
-    if (!silent && !detail::is_newer(status, known.status)) {
+        known.last_heard == time_point{} || now - known.last_heard > silence_limit(table, pacing);
+    if (!silent && !is_newer(status, known.status)) {
         return false;
     }
     known.status = status;
-    known.status.loads.clear();
     known.last_heard = now;
-    detail::note_known(table);
+    note_known(table);
     return true;
 }
 
@@ -84,7 +83,7 @@
 }
 
 bool is_reachable(const peer_table& table, const peer& it, const peer_pacing& pacing, time_point now) {
-    return it.last_heard != time_point{} && now - it.last_heard <= detail::silence_limit(table, pacing);
+    return it.last_heard != time_point{} && now - it.last_heard <= silence_limit(table, pacing);
 }
 
 bool is_serving(const peer_table& table, const peer& it, const peer_pacing& pacing, time_point now) {
@@ -132,13 +131,13 @@
             (same ? near : far).push_back(it.second.status.caller_address);
         }
     }
-    detail::shuffle(near, random);
-    detail::shuffle(far, random);
+    shuffle(near, random);
+    shuffle(far, random);
     while (near.size() < enough && !far.empty()) {
         near.push_back(std::move(far.back()));
         far.pop_back();
     }
-    near.resize(std::min(near.size(), detail::max_answer_addresses));
+    near.resize(std::min(near.size(), max_answer_addresses));
     return near;
 }
 
--- a/src/decide/retry.cpp
+++ b/src/decide/retry.cpp
@@ -11,6 +11,15 @@
 // Retries of earlier hops come in bursts; a debt that is cut off would be repaid by no one.
 constexpr double max_debt_factor = 10.0;
 
+// A response of a second server is expected within this part of the median.
+constexpr int rescue_factor_percent = 120;
+// Before this part of the median most requests still end by themselves.
+constexpr int late_factor_percent = 125;
+// Requests are reviewed this often; the last review before it would be too late decides.
+constexpr duration review_gap = std::chrono::milliseconds(15);
+// A request that takes this many medians is taken as stuck.
+constexpr int stuck_factor = 5;
+
 bool is_safe_to_repeat(const failed_attempt& attempt) {
     if (attempt.response_started || !attempt.body_replayable) {
         return false;
@@ -41,6 +50,17 @@
     return true;
 }
 
+bool is_hedge_due(duration age, duration spent, duration usual, duration target) {
+    if (usual <= duration::zero()) {
+        return false;
+    }
+    const auto latest_rescue = target - detail::rescue_factor_percent * usual / 100;
+    const bool in_time = spent <= latest_rescue;
+    const bool can_wait = spent + detail::review_gap <= latest_rescue;
+    const bool is_late = age >= detail::late_factor_percent * usual / 100;
+    return (is_late && in_time && !can_wait) || age >= detail::stuck_factor * usual;
+}
+
 bool may_say_not_run(const failed_attempt& attempt) {
     return attempt.certainly_not_run && !attempt.response_started;
 }
--- a/src/decide/route_table.cpp
+++ b/src/decide/route_table.cpp
@@ -4,7 +4,7 @@
 #include <cctype>
 
 namespace endivelever {
-namespace detail {
+namespace {
 
 std::string normalized_host(std::string_view host) {
     std::string text(host.substr(0, host.find(':')));
@@ -13,13 +13,13 @@
     return text;
 }
 
-} // namespace detail
+} // namespace
 
 std::shared_ptr<const route_table> make_route_table(routing_config config) {
     auto table = std::make_shared<route_table>();
     table->config = std::move(config);
     for (const auto& it : table->config.routes) {
-        table->by_host[detail::normalized_host(it.host)].push_back(&it);
+        table->by_host[normalized_host(it.host)].push_back(&it);
     }
     for (auto& entry : table->by_host) {
         std::stable_sort(entry.second.begin(), entry.second.end(), [](const route* left, const route* right) {
@@ -30,7 +30,7 @@
 }
 
 const route* find_route(const route_table& table, std::string_view host, std::string_view path) {
-    const auto found = table.by_host.find(detail::normalized_host(host));
+    const auto found = table.by_host.find(normalized_host(host));
     if (found == table.by_host.end()) {
         return nullptr;
     }
--- a/src/decide/server_registry.cpp
+++ b/src/decide/server_registry.cpp
@@ -3,7 +3,7 @@
 #include <set>
 
 namespace endivelever {
-namespace detail {
+namespace {
 
 /// True while a removal may be an entry that lapsed because the store could not take its server's writes.
 bool may_have_lapsed(const server_registry& registry, time_point now) {
@@ -20,7 +20,7 @@
     }
 }
 
-} // namespace detail
+} // namespace
 
 void note_store_away(server_registry& registry) {
     registry.store_is_away = true;
@@ -48,8 +48,8 @@
     for (auto it = registry.entries.begin(); it != registry.entries.end();) {
         if (present.contains(it->first)) {
             ++it;
-        } else if (detail::may_have_lapsed(registry, now) && !it->second.server.draining) {
-            detail::mark_missing(registry, it->second, now);
+        } else if (may_have_lapsed(registry, now) && !it->second.server.draining) {
+            mark_missing(registry, it->second, now);
             ++it;
         } else {
             it = registry.entries.erase(it);
@@ -67,8 +67,8 @@
     if (found == registry.entries.end()) {
         return;
     }
-    if (detail::may_have_lapsed(registry, now) && !found->second.server.draining) {
-        detail::mark_missing(registry, found->second, now);
+    if (may_have_lapsed(registry, now) && !found->second.server.draining) {
+        mark_missing(registry, found->second, now);
     } else {
         registry.entries.erase(found);
     }
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -1,4 +1,3 @@
-#include "endivelever/decide/choose_server.hpp"
 #include "endivelever/decide/observe.hpp"
 #include "endivelever/gateway/controllers.hpp"
 
@@ -65,11 +64,9 @@
         auto& service = board.services[it.service];
         const auto now = boot_clock::now();
         note_end(service.pool, *view, attempt.started, now, end, attempt.report);
-        if (attempt.report) {
-            note_load(board, *view, *attempt.report);
-        }
         if (end == attempt_end::answered) {
             record(service.response_time, now - attempt.started);
+            service.tells_load = attempt.report.has_value();
         }
     }
 }
@@ -79,14 +76,6 @@
                        [](const auto& attempt) { return attempt->in_progress; });
 }
 
-std::vector<server_id> tried_servers(const gateway_request& it) {
-    std::vector<server_id> ids;
-    for (const auto& attempt : it.attempts) {
-        ids.push_back(attempt->server);
-    }
-    return ids;
-}
-
 bool may_repeat(gateway_board& board, const gateway_request& it, bool certainly_not_run) {
     if (it.attempts.size() >= it.rule->max_attempts || it.streaming != nullptr) {
         return false;
@@ -100,7 +89,17 @@
     return allow_retry(board.services[it.service].retries, attempt);
 }
 
-void start_attempt(gateway_board& board, gateway_request& it, server_view& view);
+/// Ends a request whose last attempt failed, with the response that the server gave or with an error.
+void end_failed(gateway_board& board, gateway_request& it, request_attempt& attempt) {
+    const bool complete = attempt.status != 0 && attempt.failure.empty();
+    if (complete) {
+        respond_with(board, it, attempt);
+        return;
+    }
+    respond_own(board, it,
+                {it.may_have_run ? status_bad_gateway : status_unavailable,
+                 "no server gave a usable response: " + attempt.failure, connect_timeout});
+}
 
 /// Decides what follows a failed attempt: another server, the response that the server gave, or an error.
 void follow_failure(gateway_board& board, gateway_request& it, request_attempt& attempt) {
@@ -114,26 +113,15 @@
                  {"after_ms", to_milliseconds(boot_clock::now() - attempt.started)}});
     it.last_failure = attempt.failure;
     it.may_have_run = it.may_have_run || !attempt.not_run;
-    if (it.exchange == nullptr || other_in_progress(it)) {
+    if (it.exchange == nullptr || other_in_progress(it) || it.search != nullptr) {
         return;
     }
     if (may_repeat(board, it, attempt.not_run)) {
-        auto& pool = board.services[it.service].pool;
-        const auto index = choose_server(pool, tried_servers(it), boot_clock::now(), board.random);
-        if (index) {
-            count(board, "retries_total");
-            start_attempt(board, it, pool.servers[*index]);
-            return;
-        }
-    }
-    const bool complete = attempt.status != 0 && attempt.failure.empty();
-    if (complete) {
-        respond_with(board, it, attempt);
+        count(board, "retries_total");
+        search_server(board, it, choice_purpose::retry);
         return;
     }
-    respond_own(board, it,
-                {it.may_have_run ? status_bad_gateway : status_unavailable,
-                 "no server gave a usable response: " + attempt.failure, connect_timeout});
+    end_failed(board, it, attempt);
 }
 
 void take_response_head(gateway_board& board, gateway_request& it, request_attempt& attempt, unsigned status,
@@ -253,6 +241,16 @@
     return handlers;
 }
 
+} // namespace
+
+std::vector<server_id> tried_servers(const gateway_request& it) {
+    std::vector<server_id> ids;
+    for (const auto& attempt : it.attempts) {
+        ids.push_back(attempt->server);
+    }
+    return ids;
+}
+
 void start_attempt(gateway_board& board, gateway_request& it, server_view& view) {
     const auto now = boot_clock::now();
     auto& attempt = *it.attempts.emplace_back(std::make_unique<request_attempt>());
@@ -273,31 +271,34 @@
     attempt.transfer = board.servers->start(std::move(request), attempt_handlers(board, it.number, &attempt));
 }
 
-} // namespace
-
 void dispatch(gateway_board& board, gateway_request& it) {
-    const auto now = boot_clock::now();
     const auto found = board.services.find(it.service);
     if (found == board.services.end()) {
         respond_own(board, it, {status_unavailable, "service is not known", connect_timeout});
         return;
     }
-    auto& service = found->second;
-    note_first_attempt(service.retries, board.conf.retry_ratio * used_budget);
-    const auto index = choose_server(service.pool, {}, now, board.random);
-    if (!index) {
+    note_first_attempt(found->second.retries, board.conf.retry_ratio * used_budget);
+    search_server(board, it, choice_purpose::first);
+}
+
+void end_search(gateway_board& board, gateway_request& it, choice_purpose purpose) {
+    if (purpose == choice_purpose::first) {
         respond_own(board, it, {status_unavailable, "no server can take the request", connect_timeout});
-        return;
+    } else if (purpose == choice_purpose::retry) {
+        end_failed(board, it, *it.attempts.back());
     }
-    start_attempt(board, it, service.pool.servers[*index]);
 }
 
-void dispatch_again(gateway_board& board, gateway_request& it) {
-    auto& pool = board.services[it.service].pool;
-    const auto index = choose_server(pool, tried_servers(it), boot_clock::now(), board.random);
-    if (index && may_repeat(board, it, false)) {
+void hedge_if_late(gateway_board& board, gateway_request& it, time_point now) {
+    if (it.attempts.size() != 1 || !it.attempts.front()->in_progress || it.search != nullptr ||
+        it.streaming != nullptr || !it.rule->idempotent || it.attempts.front()->head_arrived) {
+        return;
+    }
+    const auto usual = board.services[it.service].usual_time;
+    const auto age = now - it.attempts.front()->started;
+    if (is_hedge_due(age, now - it.arrived, usual, it.rule->latency_target) && may_repeat(board, it, false)) {
         count(board, "hedges_total");
-        start_attempt(board, it, pool.servers[*index]);
+        search_server(board, it, choice_purpose::hedge);
     }
 }
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -11,7 +11,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration review_interval = 20ms;
+constexpr duration review_interval = 10ms;
 constexpr duration status_check_interval = 50ms;
 constexpr duration store_check_interval = 2s;
 constexpr duration stop_check_interval = 100ms;
--- a/src/gateway/upkeep.cpp
+++ b/src/gateway/upkeep.cpp
@@ -6,12 +6,10 @@
 namespace endivelever {
 namespace {
 
-using namespace std::chrono_literals;
-
 constexpr unsigned status_gateway_timeout = 504;
-constexpr duration probe_timeout = 1s;
-constexpr duration probe_connect_timeout = 300ms;
-constexpr byte_count max_probe_reply{4096};
+constexpr double median = 0.5;
+// The median moves slowly; computing it takes a pass over the histogram.
+constexpr std::uint64_t reviews_per_median = 50;
 
 void end_due_requests(gateway_board& board, time_point now) {
     std::vector<request_number> due;
@@ -30,47 +28,27 @@
     }
 }
 
-void send_probe(gateway_board& board, const routed_service& conf, const server_view& view) {
-    http_request request;
-    request.address = view.listed.address;
-    request.target = conf.health_path;
-    request.headers.push_back({"Host", view.listed.address.text});
-    request.timeout = probe_timeout;
-    request.connect_timeout = probe_connect_timeout;
-    count(board, "probes_total");
-    fetch(*board.servers, std::move(request), max_probe_reply,
-          [&board, service = conf.id, id = view.listed.id](const http_reply& reply) {
-              const auto found = board.services.find(service);
-              if (found == board.services.end() || reply.end.failure != transfer_failure::none) {
-                  return;
-              }
-              auto& pool = found->second.pool;
-              const auto index = find_server(pool, id);
-              if (index >= pool.servers.size()) {
-                  return;
-              }
-              const auto facts =
-                  board.dialect.read_response(reply.end.status, reply.headers, pool.latency_estimate);
-              if (facts.report) {
-                  note_report(pool.servers[index], *facts.report, boot_clock::now());
-                  note_load(board, pool.servers[index], *facts.report);
-              }
-          });
-}
-
-void send_probes(gateway_board& board, time_point now) {
-    if (board.routes == nullptr || board.stopping) {
-        return;
+void review_requests(gateway_board& board, time_point now) {
+    std::vector<request_number> open;
+    open.reserve(board.requests.size());
+    for (const auto& it : board.requests) {
+        open.push_back(it.first);
     }
-    for (const auto& conf : board.routes->config.services) {
-        auto& pool = board.services[conf.id].pool;
-        while (const auto index =
-                   next_probe(pool, board.conf.probes_per_server_per_second, now, board.random)) {
-            send_probe(board, conf, pool.servers[*index]);
+    for (const auto number : open) {
+        const auto found = board.requests.find(number);
+        if (found != board.requests.end() && found->second->rule != nullptr) {
+            hedge_if_late(board, *found->second, now);
+            end_round_if_due(board, *found->second, now);
         }
     }
 }
 
+void update_medians(gateway_board& board) {
+    for (auto& it : board.services) {
+        it.second.usual_time = value_at(it.second.response_time, median);
+    }
+}
+
 } // namespace
 
 void review(gateway_board& board) {
@@ -82,7 +60,10 @@
     if (drop_missing(board.registry, now)) {
         update_pools(board);
     }
-    send_probes(board, now);
+    review_requests(board, now);
+    if (++board.reviews % reviews_per_median == 0) {
+        update_medians(board);
+    }
 }
 
 } // namespace endivelever
--- a/src/net/http_header.cpp
+++ b/src/net/http_header.cpp
@@ -5,7 +5,7 @@
 #include <strings.h>
 
 namespace endivelever {
-namespace detail {
+namespace {
 
 using namespace std::string_view_literals;
 
@@ -39,7 +39,7 @@
     return false;
 }
 
-} // namespace detail
+} // namespace
 
 const std::string* find_header(const http_headers& headers, std::string_view name) {
     for (const auto& it : headers) {
@@ -58,8 +58,8 @@
     http_headers to;
     to.reserve(from.size() + 4);
     for (const auto& it : from) {
-        if (!detail::contains(detail::hop_by_hop, it.name) && !detail::contains(replaced, it.name) &&
-            !detail::named_by_connection(from, it.name)) {
+        if (!contains(hop_by_hop, it.name) && !contains(replaced, it.name) &&
+            !named_by_connection(from, it.name)) {
             to.push_back(it);
         }
     }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -90,14 +90,9 @@
     const auto domain = out.CreateString(value.failure_domain.text);
     const auto caller = out.CreateString(value.caller_address);
     const auto peer = out.CreateString(value.peer_address);
-    std::vector<fb::ServerLoad> loads;
-    loads.reserve(value.loads.size());
-    for (const auto& it : value.loads) {
-        loads.emplace_back(it.server_key, it.running, it.queued, it.slowdown_percent, it.age_ms);
-    }
     return fb::CreateGatewayStatus(out, vm, value.life.value, value.sequence, to_fb(value.state), domain,
                                    caller, peer, value.routing_version, value.routing_revision,
-                                   value.servers_revision, out.CreateVectorOfStructs(loads))
+                                   value.servers_revision)
         .Union();
 }
 
@@ -227,10 +222,6 @@
     if (!known(value->state())) {
         in.within(1, 0, "gateway state");
     }
-    const auto load = [](const fb::ServerLoad* it) {
-        return server_load{it->server_key(), it->running(), it->queued(), it->slowdown_percent(),
-                           it->age_ms()};
-    };
     return gateway_status_message{vm_id(in.name(value->vm())),
                                   incarnation{value->life()},
                                   value->sequence(),
@@ -240,8 +231,7 @@
                                   in.name(value->peer_address()),
                                   value->routing_version(),
                                   value->routing_revision(),
-                                  value->servers_revision(),
-                                  in.list(value->loads(), wire_limits::servers, "loads", load)};
+                                  value->servers_revision()};
 }
 
 result<message> unpack(reader& in, const fb::Envelope* value) {
