Let requests wait for a server with room instead of queueing at servers

Cause: beyond a burst the platform's limit on questions to servers was exceeded (up to 110 a second and server, 60 allowed), and requests queued behind slow work at servers although others became free. Change: one budget of questions a VM; requests wait here and take the next server that was heard of, through an answer or a completed request; those that meet their latency target come first, by rank and age; requests that came back stay, others that can no longer meet it are refused while the queue is in use.

--- a/include/endivelever/decide/server_view.hpp
+++ b/include/endivelever/decide/server_view.hpp
@@ -40,7 +40,8 @@
     duration report_error{};        ///< smoothed observed latency minus the latency that reports imply
     double shed_pressure = 0.0;     ///< recent sheds, decays by time since shed_at
     time_point shed_at{};
-    bool in_subset = true; ///< among the servers that this entry prefers
+    bool says_unhealthy = false; ///< its last health answer was no success
+    bool in_subset = true;       ///< among the servers that this entry prefers
 };
 
 /// All servers of one service as one entry sees them.
--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -5,6 +5,7 @@
 #include "endivelever/base/histogram.hpp"
 #include "endivelever/base/random.hpp"
 #include "endivelever/decide/peer_table.hpp"
+#include "endivelever/decide/probe_choice.hpp"
 #include "endivelever/decide/retry.hpp"
 #include "endivelever/decide/server_registry.hpp"
 #include "endivelever/gateway/dialect.hpp"
@@ -25,8 +26,10 @@
     server_pool pool;
     retry_budget retries{0.0, 0.0};
     histogram response_time; ///< from dispatch to the complete response, successes only
-    duration usual_time{};   ///< median of response_time
-    bool tells_load = true;  ///< false after responses without a load report
+    wait_queue waiting;
+    time_point heard_at{};  ///< last answer of any of its servers to a question
+    duration usual_time{};  ///< median of response_time
+    bool tells_load = true; ///< false after responses without a load report
     bool in_config = false;
 };
 
@@ -55,8 +58,11 @@
 
     std::unordered_map<request_number, std::unique_ptr<gateway_request>> requests;
     request_number last_request = 0;
+    /// Longest deadline that callers of a route stated: a shorter one shows that the request came back.
+    std::unordered_map<route_id, duration> longest_deadline;
     histogram latency; ///< from the request head to the final response
     std::uint64_t reviews = 0;
+    probe_budget probes;
     bool stopping = false;
     time_point stop_began{};
 
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -14,19 +14,23 @@
 /// budget allow it.
 void hedge_if_late(gateway_board& board, gateway_request& it, time_point now);
 
-/// Looks for a server and calls start_attempt() or end_search() when one is chosen or none can be.
-void search_server(gateway_board& board, gateway_request& it, choice_purpose purpose);
 void start_attempt(gateway_board& board, gateway_request& it, server_view& view);
-/// Goes on with a search whose servers did not answer in time.
-void end_round_if_due(gateway_board& board, gateway_request& it, time_point now);
-/// The search found no server that may take the request.
-void end_search(gateway_board& board, gateway_request& it, choice_purpose purpose);
-/// @return servers to which the request was already sent
-std::vector<server_id> tried_servers(const gateway_request& it);
+
+/// No server was found for a request.
+void end_unplaced(gateway_board& board, gateway_request& it, send_purpose purpose, const std::string& reason,
+                  duration retry_after);
 
 /// Ends all attempts of a request without a response to the caller.
 void cancel_attempts(gateway_board& board, gateway_request& it);
 
+// Placement of requests on servers.
+/// Queues a request until a server with room is found, and asks some servers for their load.
+void place(gateway_board& board, gateway_request& it, send_purpose purpose);
+/// Gives waiting requests to a server that was just heard of, as far as it has room.
+void offer_server(gateway_board& board, gateway_service& service, server_view& view);
+/// Asks further servers for requests that wait, refuses those that cannot be served in time.
+void review_waiting(gateway_board& board, gateway_service& service, time_point now);
+
 // Responses.
 /// Response of this system's own.
 struct own_response {
--- a/include/endivelever/gateway/request.hpp
+++ b/include/endivelever/gateway/request.hpp
@@ -2,6 +2,7 @@
 
 #include "endivelever/decide/route_table.hpp"
 #include "endivelever/decide/server_view.hpp"
+#include "endivelever/decide/wait_queue.hpp"
 #include "endivelever/net/http_client.hpp"
 #include "endivelever/net/http_server.hpp"
 
@@ -12,8 +13,6 @@
 
 namespace endivelever {
 
-using request_number = std::uint64_t;
-
 /// One sending of a request to a server.
 struct request_attempt {
     transfer_id transfer = 0;
@@ -31,19 +30,6 @@
     std::string failure; ///< why it ended without a usable response
 };
 
-/// What a server is chosen for.
-enum class choice_purpose { first, retry, hedge };
-
-/// Search for a server: some are asked for their load, the best answer wins.
-struct server_search {
-    choice_purpose purpose = choice_purpose::first;
-    time_point began{};
-    std::vector<server_id> asked;
-    std::size_t rounds = 0;
-    std::size_t open_questions = 0;
-    time_point round_ends{}; ///< servers that did not answer by then are taken as silent
-};
-
 /// One request of a caller in progress.
 struct gateway_request {
     request_number number = 0;
@@ -55,12 +41,13 @@
     std::string body;
     bool has_body = false;
     time_point arrived{};
+    duration spent_before{}; ///< in earlier attempts of the caller, as its deadline tells
     time_point caller_deadline{};
     time_point final_at{}; ///< the final response is due: route's timeout or caller's deadline
     std::vector<std::unique_ptr<request_attempt>> attempts;
-    std::unique_ptr<server_search> search; ///< set while a server is looked for
-    request_attempt* streaming = nullptr;  ///< attempt whose response already goes to the caller
-    bool may_have_run = false;             ///< an attempt ended without proof that it did not run
+    request_attempt* streaming = nullptr; ///< attempt whose response already goes to the caller
+    bool hedged = false;                  ///< a second server was looked for
+    bool may_have_run = false;            ///< an attempt ended without proof that it did not run
     std::string last_failure;
 };
 
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -64,8 +64,7 @@
         line += ",\"dropped_lines\":" + std::to_string(log.dropped);
     }
     line += "}\n";
-    if (line.size() > max_line || !within_budget(log, line.size()) ||
-        !is_writable(log.fd) ||
+    if (line.size() > max_line || !within_budget(log, line.size()) || !is_writable(log.fd) ||
         write(log.fd, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
         ++log.dropped;
         return;
--- a/src/decide/probe_choice.cpp
+++ b/src/decide/probe_choice.cpp
@@ -18,12 +18,23 @@
 constexpr double failure_factor = 20.0;
 constexpr double warming_factor = 2.0;
 constexpr double ejected_factor = 10.0;
+// Health answers are wrong at times, so that an unhealthy server is only asked later than the others.
+constexpr double unhealthy_factor = 3.0;
 // Crossing failure domains costs a few milliseconds and a price for each byte.
 constexpr double far_factor = 1.2;
 constexpr double far_factor_of_large = 6.0;
 // Keeps VMs that know the same from asking the same servers.
 constexpr double jitter = 0.3;
 
+// VMs that do not know of each other, and those that restart, use more than their share for a while.
+constexpr double used_probe_share = 0.85;
+// The platform counts over a day, so that questions saved in calm times may be asked in busy ones.
+constexpr duration probe_burst = 15s;
+constexpr duration first_credit = 2s;
+
+// Up to this slowdown a server counts as running at its usual speed.
+constexpr double usual_slowdown = 1.3;
+
 double load_factor(const load_report& report, std::uint32_t slots) {
     const double calls = static_cast<double>(report.running) + report.queued + 1.0;
     const double share = calls / std::max(1U, slots);
@@ -53,6 +64,9 @@
     if (view.state == server_state::ejected) {
         factor *= ejected_factor;
     }
+    if (view.says_unhealthy) {
+        factor *= unhealthy_factor;
+    }
     return factor;
 }
 
@@ -75,8 +89,19 @@
     return duration(static_cast<duration::rep>(static_cast<double>(usual.count()) * factor));
 }
 
-bool is_good(const load_report& report, std::uint32_t slots) {
-    return report.slowdown <= good_slowdown && load_factor(report, slots) <= 1.0;
+load_report present_report(const server_view& view) {
+    auto report = view.last_report;
+    const auto own = static_cast<std::uint32_t>(view.in_flight.size());
+    report.running += own > view.in_flight_at_report ? own - view.in_flight_at_report : 0;
+    return report;
+}
+
+bool has_room(const load_report& report, std::uint32_t slots) {
+    return report.running + report.queued < slots;
+}
+
+bool is_at_ease(const load_report& report, std::uint32_t slots) {
+    return report.slowdown <= usual_slowdown && load_factor(report, slots) <= 1.0;
 }
 
 std::vector<server_index> pick_candidates(const server_pool& pool, const std::vector<server_id>& excluded,
@@ -85,13 +110,13 @@
     std::vector<std::pair<double, server_index>> ranked;
     for (server_index i = 0; i < pool.servers.size(); ++i) {
         const auto& view = pool.servers[i];
-        if (is_draining(view) || view.in_flight.size() >= view.connection_share ||
+        const bool is_asked = view.reported_at < view.last_probe && now - view.last_probe <= answer_limit;
+        if (is_draining(view) || is_asked || view.in_flight.size() >= view.connection_share ||
             contains(excluded, view.listed.id)) {
             continue;
         }
         const double cost = recent_factor(view, now) * standing_factor(view, now) *
-                            domain_factor(pool, view, keep_domain) *
-                            (1.0 + jitter * random_unit(random));
+                            domain_factor(pool, view, keep_domain) * (1.0 + jitter * random_unit(random));
         ranked.emplace_back(cost, i);
     }
     n = std::min(n, ranked.size());
@@ -103,24 +128,21 @@
     return picked;
 }
 
-std::optional<server_index> best_answer(const server_pool& pool, const std::vector<server_id>& asked,
-                                        time_point since, duration usual, bool keep_domain) {
-    std::optional<server_index> best;
-    double best_cost = 0.0;
-    for (server_index i = 0; i < pool.servers.size(); ++i) {
-        const auto& view = pool.servers[i];
-        if (is_draining(view) || view.reported_at < since || !contains(asked, view.listed.id)) {
-            continue;
-        }
-        const double cost = to_seconds(predicted_time(view.last_report, view.slots, usual)) *
-                            standing_factor(view, since) *
-                            domain_factor(pool, view, keep_domain);
-        if (!best || cost < best_cost) {
-            best = i;
-            best_cost = cost;
-        }
-    }
-    return best;
+void credit_probes(probe_budget& budget, double per_server_and_second, std::size_t servers, std::uint32_t vms,
+                   time_point now) {
+    const double rate = used_probe_share * per_server_and_second * static_cast<double>(servers) /
+                        static_cast<double>(std::max(1U, vms));
+    const double limit = rate * to_seconds(probe_burst);
+    const bool first = budget.credited_at == time_point{};
+    const double gained = rate * to_seconds(first ? first_credit : now - budget.credited_at);
+    budget.credited_at = now;
+    budget.tokens = std::min(limit, budget.tokens + gained);
+}
+
+std::size_t take_probes(probe_budget& budget, std::size_t wanted) {
+    const auto taken = std::min(wanted, static_cast<std::size_t>(std::max(0.0, budget.tokens)));
+    budget.tokens -= static_cast<double>(taken);
+    return taken;
 }
 
 void note_silent(server_view& view, time_point now) {
--- /dev/null
+++ b/src/decide/wait_queue.cpp
@@ -0,0 +1,83 @@
+#include "endivelever/decide/wait_queue.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace endivelever {
+namespace {
+
+// A large response crosses failure domains only after this part of the latency target was spent waiting.
+constexpr int near_only_part = 4;
+// Work of a request differs from the median by about this factor one way; below it no response is in time.
+constexpr int shortest_percent = 60;
+
+bool meets_target(const waiting_request& it, duration needed, time_point now) {
+    return now - it.arrived + needed <= it.target;
+}
+
+bool suits(const waiting_request& it, const server_offer& offer, duration usual, time_point now) {
+    if (std::find(it.tried.begin(), it.tried.end(), offer.server) != it.tried.end()) {
+        return false;
+    }
+    if (it.stays_near && !offer.near && now - it.queued < it.target / near_only_part) {
+        return false;
+    }
+    if (!offer.at_ease && !it.settles) {
+        return false;
+    }
+    if (!offer.has_room) {
+        return false;
+    }
+    if (meets_target(it, offer.predicted, now)) {
+        return true;
+    }
+    const bool may_wait = meets_target(it, usual, now);
+    return it.purpose != send_purpose::hedge && !may_wait && now + offer.predicted <= it.final_at;
+}
+
+} // namespace
+
+std::optional<std::size_t> next_for(const wait_queue& queue, const server_offer& offer, duration usual,
+                                    time_point now) {
+    if (!offer.usable) {
+        return std::nullopt;
+    }
+    std::optional<std::size_t> best;
+    std::tuple<bool, std::uint32_t, time_point> best_order{};
+    for (std::size_t i = 0; i < queue.size(); ++i) {
+        const auto& it = queue[i];
+        if (!suits(it, offer, usual, now)) {
+            continue;
+        }
+        const std::tuple order{!meets_target(it, offer.predicted, now), it.rank,
+                               it.arrived - it.spent_before};
+        if (!best || order < best_order) {
+            best = i;
+            best_order = order;
+        }
+    }
+    return best;
+}
+
+std::vector<request_number> overdue(const wait_queue& queue, duration usual, time_point now) {
+    std::vector<request_number> late;
+    bool others_wait = false;
+    for (const auto& it : queue) {
+        if (meets_target(it, usual, now)) {
+            others_wait = true;
+        } else if (it.purpose == send_purpose::first && it.spent_before == duration::zero()) {
+            late.push_back(it.request);
+        }
+    }
+    return others_wait ? late : std::vector<request_number>{};
+}
+
+bool is_hopeless(const waiting_request& it, duration usual, time_point now) {
+    return now + shortest_percent * usual / 100 > it.final_at;
+}
+
+bool remove_waiting(wait_queue& queue, request_number request) {
+    return std::erase_if(queue, [request](const waiting_request& it) { return it.request == request; }) > 0;
+}
+
+} // namespace endivelever
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -67,6 +67,10 @@
         if (end == attempt_end::answered) {
             record(service.response_time, now - attempt.started);
             service.tells_load = attempt.report.has_value();
+            remove_waiting(service.waiting, it.number);
+        }
+        if (attempt.report) {
+            offer_server(board, service, *view);
         }
     }
 }
@@ -113,12 +117,12 @@
                  {"after_ms", to_milliseconds(boot_clock::now() - attempt.started)}});
     it.last_failure = attempt.failure;
     it.may_have_run = it.may_have_run || !attempt.not_run;
-    if (it.exchange == nullptr || other_in_progress(it) || it.search != nullptr) {
+    if (it.exchange == nullptr || other_in_progress(it)) {
         return;
     }
     if (may_repeat(board, it, attempt.not_run)) {
         count(board, "retries_total");
-        search_server(board, it, choice_purpose::retry);
+        place(board, it, send_purpose::retry);
         return;
     }
     end_failed(board, it, attempt);
@@ -243,14 +247,6 @@
 
 } // namespace
 
-std::vector<server_id> tried_servers(const gateway_request& it) {
-    std::vector<server_id> ids;
-    for (const auto& attempt : it.attempts) {
-        ids.push_back(attempt->server);
-    }
-    return ids;
-}
-
 void start_attempt(gateway_board& board, gateway_request& it, server_view& view) {
     const auto now = boot_clock::now();
     auto& attempt = *it.attempts.emplace_back(std::make_unique<request_attempt>());
@@ -278,19 +274,20 @@
         return;
     }
     note_first_attempt(found->second.retries, board.conf.retry_ratio * used_budget);
-    search_server(board, it, choice_purpose::first);
+    place(board, it, send_purpose::first);
 }
 
-void end_search(gateway_board& board, gateway_request& it, choice_purpose purpose) {
-    if (purpose == choice_purpose::first) {
-        respond_own(board, it, {status_unavailable, "no server can take the request", connect_timeout});
-    } else if (purpose == choice_purpose::retry) {
+void end_unplaced(gateway_board& board, gateway_request& it, send_purpose purpose, const std::string& reason,
+                  duration retry_after) {
+    if (purpose == send_purpose::first) {
+        respond_own(board, it, {status_unavailable, reason, retry_after});
+    } else if (purpose == send_purpose::retry && !it.attempts.back()->in_progress) {
         end_failed(board, it, *it.attempts.back());
     }
 }
 
 void hedge_if_late(gateway_board& board, gateway_request& it, time_point now) {
-    if (it.attempts.size() != 1 || !it.attempts.front()->in_progress || it.search != nullptr ||
+    if (it.attempts.size() != 1 || !it.attempts.front()->in_progress || it.hedged ||
         it.streaming != nullptr || !it.rule->idempotent || it.attempts.front()->head_arrived) {
         return;
     }
@@ -298,7 +295,8 @@
     const auto age = now - it.attempts.front()->started;
     if (is_hedge_due(age, now - it.arrived, usual, it.rule->latency_target) && may_repeat(board, it, false)) {
         count(board, "hedges_total");
-        search_server(board, it, choice_purpose::hedge);
+        it.hedged = true;
+        place(board, it, send_purpose::hedge);
     }
 }
 
--- a/src/gateway/intake.cpp
+++ b/src/gateway/intake.cpp
@@ -13,6 +13,9 @@
 constexpr unsigned status_unavailable = 503;
 // Until the first configuration arrives; reading it takes a few calls to the store.
 constexpr duration retry_after_start = 300ms;
+// Callers measure their deadlines with this precision.
+constexpr duration shortest_attempt = 10ms;
+constexpr std::size_t max_routes_with_deadline = 20'000;
 // Requests that wait longer than this are cut by every configuration.
 constexpr std::int64_t max_deadline_ms = 600'000;
 
@@ -39,6 +42,20 @@
     it.final_at = std::min(it.caller_deadline, it.arrived + timeout);
 }
 
+/// A caller that comes back states what is left of its deadline.
+void note_spent_before(gateway_board& board, gateway_request& it, std::optional<duration> deadline) {
+    if (!deadline) {
+        return;
+    }
+    if (board.longest_deadline.size() > max_routes_with_deadline) {
+        board.longest_deadline.clear();
+    }
+    auto& longest = board.longest_deadline[it.rule->id];
+    longest = std::max(longest, *deadline);
+    const auto spent = longest - *deadline;
+    it.spent_before = spent > shortest_attempt ? spent : duration::zero();
+}
+
 gateway_request& add_request(gateway_board& board, http_exchange& exchange) {
     auto it = std::make_unique<gateway_request>();
     it->number = ++board.last_request;
@@ -70,7 +87,9 @@
         return;
     }
     it.has_body = !length || *length > 0 || find_header(exchange.headers(), "Content-Length") != nullptr;
-    set_times(it, stated_deadline(board, exchange.headers()));
+    const auto deadline = stated_deadline(board, exchange.headers());
+    set_times(it, deadline);
+    note_spent_before(board, it, deadline);
     it.service = pick_service(*it.rule, board.random);
 }
 
--- a/src/gateway/respond.cpp
+++ b/src/gateway/respond.cpp
@@ -128,6 +128,9 @@
 
 void forget(gateway_board& board, gateway_request& it) {
     cancel_attempts(board, it);
+    if (const auto service = board.services.find(it.service); service != board.services.end()) {
+        remove_waiting(service->second.waiting, it.number);
+    }
     if (it.exchange != nullptr) {
         it.exchange->context = nullptr;
     }
--- a/src/gateway/upkeep.cpp
+++ b/src/gateway/upkeep.cpp
@@ -38,7 +38,6 @@
         const auto found = board.requests.find(number);
         if (found != board.requests.end() && found->second->rule != nullptr) {
             hedge_if_late(board, *found->second, now);
-            end_round_if_due(board, *found->second, now);
         }
     }
 }
@@ -54,13 +53,20 @@
 void review(gateway_board& board) {
     const auto now = boot_clock::now();
     end_due_requests(board, now);
+    std::size_t servers = 0;
     for (auto& it : board.services) {
         review_servers(it.second.pool, now);
+        servers += it.second.pool.servers.size();
     }
+    credit_probes(board.probes, board.conf.probes_per_server_per_second, servers,
+                  serving_vms(board.peers, board.pacing, now), now);
     if (drop_missing(board.registry, now)) {
         update_pools(board);
     }
     review_requests(board, now);
+    for (auto& it : board.services) {
+        review_waiting(board, it.second, now);
+    }
     if (++board.reviews % reviews_per_median == 0) {
         update_medians(board);
     }
