--- a/include/endivelever/decide/peer_table.hpp
+++ b/include/endivelever/decide/peer_table.hpp
@@ -10,73 +10,83 @@
 
 namespace endivelever {
 
+/// A VM that registered in the store.
+struct registered_vm {
+    vm_id vm;
+    endivelever::failure_domain failure_domain;
+    std::string peer_address; ///< datagrams
+};
+
 /// Another gateway VM.
 struct peer {
-    gateway_status_message status; ///< as last heard; only the addresses are set before the first status
+    registered_vm record;
+    gateway_status_message status; ///< as last heard
     time_point last_heard{};       ///< default if never
+    time_point tried_since{};      ///< since when it is expected to act as a head; default if it is not
+    time_point dead_until{};       ///< it was silent as a head and is not tried before this time
     time_point last_sent{};
-    bool registered = false; ///< named by the list in the store
 };
 
-/// Gateway VMs that this one knows.
+/// Gateway VMs that this one knows. In each failure domain the VMs with the highest rank are its heads: they
+/// watch the store, collect the state of the domain's VMs and tell all of them. The others send their state to
+/// the heads only, so that the traffic grows with the number of VMs and not with its square.
 struct peer_table {
+    registered_vm own;
     std::map<vm_id, peer> peers;
-    std::size_t most_known = 0; ///< largest number of VMs known at one time, this one included
-    bool loaded = false;        ///< the list in the store was read once
-};
-
-/// How status datagrams are paced.
-struct peer_pacing {
-    duration interval = std::chrono::milliseconds(250); ///< wanted time between two datagrams to one peer
-    std::uint32_t sends_per_second = 120;               ///< of one VM to all peers; stretches the interval
-    duration suspect_after = std::chrono::milliseconds(1300);
+    bool loaded = false;         ///< the list in the store was read once
+    time_point started{};        ///< from when on a status of a head is expected
+    time_point head_heard_at{};  ///< last status of a head of the own domain
+    time_point asked_as_head{};  ///< last status that another VM of the domain sent to this one
+    std::vector<std::string> domain_addresses; ///< serving VMs of the own domain, as its heads tell
+    std::vector<std::string> other_addresses;  ///< some serving VMs of other domains, as the heads tell
+    std::uint32_t fleet_size = 1;              ///< serving VMs of all domains, as the heads tell
 };
 
-/// A VM that registered in the store.
-struct registered_vm {
-    vm_id vm;
-    endivelever::failure_domain failure_domain;
-    std::string caller_address;
-    std::string peer_address;
-};
+constexpr std::size_t heads_per_domain = 2;
+/// Time between two status datagrams.
+constexpr duration status_interval = std::chrono::milliseconds(250);
+/// A head or member that is silent for this long counts as gone: three datagrams in a row may be lost.
+constexpr duration silence_limit = std::chrono::milliseconds(1050);
 
-/// Takes over the list of registered VMs. Peers that were never heard and are no longer listed are dropped.
-/// @param own  left out
-void apply_registered(peer_table& table, const std::vector<registered_vm>& listed, const vm_id& own);
+/// Takes over the list of registered VMs.
+void apply_registered(peer_table& table, const std::vector<registered_vm>& listed);
 
 /// Takes over a status. One that is older than the known one is ignored, unless that peer fell silent.
 /// @return true if it was taken over
-bool merge_status(peer_table& table, const gateway_status_message& status, const peer_pacing& pacing,
-                  time_point now);
+bool merge_status(peer_table& table, const gateway_status_message& status, time_point now);
 
-/// Time between two datagrams to one peer at the present number of peers.
-duration status_interval(const peer_table& table, const peer_pacing& pacing);
+/// Heads of a failure domain as far as this VM knows, highest rank first, at most heads_per_domain.
+/// Silent ones are passed over for a while. This VM is among them if it ranks high enough.
+std::vector<vm_id> find_heads(peer_table& table, const failure_domain& domain, time_point now);
 
-/// True if the peer was heard within the limit.
-bool is_reachable(const peer_table& table, const peer& it, const peer_pacing& pacing, time_point now);
+/// What this VM has to do at present.
+struct peer_duties {
+    bool is_head = false;  ///< collects and tells the state of its domain
+    bool watches = false;  ///< reads the store itself
+};
 
-/// True if callers may be sent to the peer: reachable, not leaving, configuration in force.
-bool is_serving(const peer_table& table, const peer& it, const peer_pacing& pacing, time_point now);
+/// Heads watch the store. Another VM does so as well if it hears no head, or if all heads have said for a while
+/// that the store does not answer them; the time grows with its rank, so that an outage of the store does not
+/// make all VMs call it.
+/// @param store_bad_since  since when no head of the domain has access to the store; default if one has
+peer_duties find_duties(peer_table& table, time_point store_bad_since, time_point now);
 
-/// Peers to which a status is due now, longest waiting first; they count as sent.
-std::vector<socket_address> due_peers(peer_table& table, const peer_pacing& pacing, time_point now);
+/// True if callers may be sent to the peer: heard lately, not leaving, configuration in force.
+bool is_serving(const peer& it, time_point now);
 
-/// Number of serving VMs, this one included.
-std::uint32_t serving_vms(const peer_table& table, const peer_pacing& pacing, time_point now);
+/// Addresses of the serving VMs of the own domain that this VM heard itself, its own one included if it serves.
+std::vector<std::string> heard_addresses(const peer_table& table, const std::string& own_caller_address,
+                                         bool own_serves, time_point now);
 
-/// What is known of this VM for an address answer.
-struct own_address {
-    endivelever::failure_domain failure_domain;
-    std::string caller_address;
-    bool serving = false;
-};
+/// Takes over what a head of the own domain tells about the domain and the others.
+void apply_head_status(peer_table& table, const gateway_status_message& status, time_point now);
 
-/// Addresses for a caller. Requests between failure domains cost more, so the caller's own domain comes
-/// first; VMs of other domains are added where it has fewer than `enough`.
-/// @param asked   failure domain of the caller
+/// Addresses for a caller. Large responses should not cross failure domains, so the VMs of the caller's domain
+/// come first; others are added where there are fewer than `enough`.
+/// @param near    serving VMs of the caller's domain
+/// @param far     serving VMs of other domains
 /// @param enough  addresses that make an answer complete; a caller that fails at one tries another
-std::vector<std::string> caller_addresses(const peer_table& table, const own_address& own,
-                                          const failure_domain& asked, std::size_t enough,
-                                          const peer_pacing& pacing, time_point now, random_source& random);
+std::vector<std::string> caller_addresses(std::vector<std::string> near, std::vector<std::string> far,
+                                          std::size_t enough, random_source& random);
 
 } // namespace endivelever
--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -13,6 +13,7 @@
 #include "endivelever/gateway/settings.hpp"
 #include "endivelever/store/object_reflector.hpp"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -33,6 +34,12 @@
     bool in_config = false;
 };
 
+/// A change of the server entries, with the revision that this VM had after it.
+struct logged_change {
+    store_revision seen_at;
+    object_change change;
+};
+
 /// Blackboard of the gateway process. Controllers are free functions that read and write it.
 struct gateway_board {
     gateway_settings conf;
@@ -50,10 +57,20 @@
     std::map<service_id, gateway_service> services;
 
     bool registered = false;   ///< this VM's own entry is in the store
+    time_point listed_at{};    ///< last reading of the list of VMs
     bool check_failed = false; ///< the last cheap call to the store was not answered
 
+    nlohmann::json routing_content;                     ///< as stored, for peers
+    std::string packed_routing;                         ///< empty until a peer asks for it
+    std::map<std::string, nlohmann::json> server_objects; ///< entries as stored, for peers
+    std::deque<logged_change> server_log;               ///< latest changes, oldest first, for peers
+    store_revision server_log_begin;                    ///< the log holds every change after this revision
+    bool pulls_routing = false;                         ///< a call to a peer is in progress
+    bool pulls_servers = false;
+
     peer_table peers;
-    peer_pacing pacing;
+    peer_duties duties;
+    time_point store_bad_since{}; ///< since when no head of the domain has access to the store
     std::uint64_t status_sequence = 0;
 
     std::unordered_map<request_number, std::unique_ptr<gateway_request>> requests;
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -54,15 +54,28 @@
 void forget(gateway_board& board, gateway_request& it);
 
 // Knowledge from the store.
-void start_store(gateway_board& board);
-/// Registers this VM in the store and reads the other VMs; also shows whether the store answers.
+/// Begins to watch the store, or leaves it to the heads of the failure domain.
+void update_watches(gateway_board& board);
+/// Writes this VM's entry into the store.
+void register_own(gateway_board& board);
+/// Reads the registered VMs if that is due; for a VM that watches the store it also shows whether it answers.
 void check_store(gateway_board& board);
+void apply_routing(gateway_board& board, const stored_object& object, store_revision revision);
+void apply_server_list(gateway_board& board, const std::vector<stored_object>& objects, store_revision at);
+void apply_server_changes(gateway_board& board, const std::vector<object_change>& changes, store_revision at);
 /// Brings the pools up to date with registry, configuration and peers.
 void update_pools(gateway_board& board);
 
 // Peers.
 void receive_status(gateway_board& board, std::span<const std::uint8_t> payload);
-void send_status(gateway_board& board);
+/// Sends the state of this VM where it is due, or to all receivers at once.
+void send_status(gateway_board& board, bool at_once);
+/// Brings the duties of this VM up to date.
+void review_peers(gateway_board& board, time_point now);
+/// Asks a peer for configuration or server entries if its status shows newer ones.
+void pull_if_newer(gateway_board& board, const gateway_status_message& status);
+/// Answers such a question. @return false if the path is none of them
+bool answer_peer(gateway_board& board, http_exchange& exchange);
 
 // Administration.
 http_server::handlers ready_handlers(gateway_board& board);
--- a/include/endivelever/gateway/dialect.hpp
+++ b/include/endivelever/gateway/dialect.hpp
@@ -33,7 +33,6 @@
     header_names names;
     std::string ready_path;
     std::string lookup_path;
-    std::string lookup_domain_parameter; ///< query parameter with the caller's failure domain
     object_kind routing_kind;            ///< objects with the routing configuration
     std::string routing_object;          ///< name of the one in force
     object_kind server_kind;             ///< registered servers
--- a/include/endivelever/store/object_protocol.hpp
+++ b/include/endivelever/store/object_protocol.hpp
@@ -48,7 +48,7 @@
 struct object_protocol {
     std::function<http_request(const object_kind&, const std::string& after)> list;
     /// Cheap list that may be seconds old.
-    std::function<http_request(const object_kind&)> list_stale;
+    std::function<http_request(const object_kind&, const std::string& after)> list_stale;
     std::function<http_request(const object_kind&, store_revision, duration wait)> watch;
     std::function<http_request(const object_kind&, const std::string& name, const nlohmann::json&)> create;
     std::function<http_request(const object_kind&, const std::string& name, const nlohmann::json&)> replace;
--- a/include/endivelever/wire/messages.hpp
+++ b/include/endivelever/wire/messages.hpp
@@ -92,9 +92,14 @@
     endivelever::failure_domain failure_domain;
     std::string caller_address;
     std::string peer_address;
+    std::string relay_address;          ///< serves configuration and server entries to peers
     std::uint64_t routing_version = 0;  ///< version of the routing configuration in force; 0 if none
-    std::uint64_t routing_revision = 0; ///< store revision at which it was read
     std::uint64_t servers_revision = 0; ///< store revision of the server entries; 0 if none
+    bool is_head = false;               ///< collects the state of its failure domain; set with what follows
+    bool store_answers = false;         ///< its last call to the store was answered
+    std::uint32_t fleet_size = 0;       ///< serving VMs of all failure domains
+    std::vector<std::string> domain_addresses; ///< serving VMs of the sender's failure domain
+    std::vector<std::string> other_addresses;  ///< some serving VMs of other failure domains
 };
 
 using message = std::variant<hello_message, heartbeat_message, document_message, member_table_message,
--- a/src/decide/peer_table.cpp
+++ b/src/decide/peer_table.cpp
@@ -2,27 +2,54 @@
 
 #include <algorithm>
 #include <set>
+#include <xxhash.h>
 
 namespace endivelever {
 namespace {
 
-// A status may be lost; the next two still arrive within the limit.
-constexpr int silent_intervals = 5;
-constexpr std::size_t max_answer_addresses = 64;
-constexpr std::size_t max_peers = 4096;
+using namespace std::chrono_literals;
 
-void note_known(peer_table& table) {
-    table.most_known = std::max(table.most_known, table.peers.size() + 1);
+constexpr std::size_t max_answer_addresses = 64;
+constexpr std::size_t max_peers = 16'384;
+// A head that was silent is tried again after this time; a restart takes about as long.
+constexpr duration dead_time = 3s;
+// Without any status of a head for this long a VM takes itself as cut off and reads the store itself.
+constexpr duration isolation_limit = 1500ms;
+// One more VM for each of these spans calls the store while no head has access to it.
+constexpr duration takeover_step = 400ms;
+
+std::uint64_t rank_of(const vm_id& vm) {
+    return XXH3_64bits(vm.text.data(), vm.text.size());
 }
 
-duration silence_limit(const peer_table& table, const peer_pacing& pacing) {
-    return std::max(pacing.suspect_after, silent_intervals * status_interval(table, pacing));
+bool was_heard(const peer& it, time_point now) {
+    return it.last_heard != time_point{} && now - it.last_heard <= silence_limit;
 }
 
 bool is_newer(const gateway_status_message& status, const gateway_status_message& known) {
     return status.life > known.life || (status.life == known.life && status.sequence > known.sequence);
 }
 
+/// Decides whether a peer can be counted on as a head; one that was never heard gets a chance.
+bool is_usable_head(peer& it, time_point now) {
+    if (was_heard(it, now) && it.status.state == member_state::live) {
+        it.tried_since = {};
+        return true;
+    }
+    if (now < it.dead_until) {
+        return false;
+    }
+    if (it.tried_since == time_point{}) {
+        it.tried_since = now;
+    }
+    if (now - it.tried_since <= silence_limit) {
+        return true;
+    }
+    it.tried_since = {};
+    it.dead_until = now + dead_time;
+    return false;
+}
+
 template <typename T>
 void shuffle(std::vector<T>& items, random_source& random) {
     for (std::size_t i = items.size(); i > 1; --i) {
@@ -30,107 +57,116 @@
     }
 }
 
+/// VMs of a domain by rank, this one included.
+std::vector<vm_id> ranked(const peer_table& table, const failure_domain& domain) {
+    std::vector<vm_id> ids;
+    for (const auto& it : table.peers) {
+        if (it.second.record.failure_domain == domain) {
+            ids.push_back(it.first);
+        }
+    }
+    if (table.own.failure_domain == domain) {
+        ids.push_back(table.own.vm);
+    }
+    std::sort(ids.begin(), ids.end(),
+              [](const vm_id& left, const vm_id& right) { return rank_of(left) > rank_of(right); });
+    return ids;
+}
+
 } // namespace
 
-void apply_registered(peer_table& table, const std::vector<registered_vm>& listed, const vm_id& own) {
+void apply_registered(peer_table& table, const std::vector<registered_vm>& listed) {
     std::set<vm_id> named;
     for (const auto& it : listed) {
-        if (it.vm == own || table.peers.size() >= max_peers) {
+        if (it.vm == table.own.vm || named.size() >= max_peers) {
             continue;
         }
         named.insert(it.vm);
         auto& known = table.peers[it.vm];
-        known.registered = true;
         if (known.last_heard == time_point{}) {
-            known.status.vm = it.vm;
-            known.status.failure_domain = it.failure_domain;
-            known.status.caller_address = it.caller_address;
-            known.status.peer_address = it.peer_address;
+            known.record = it;
         }
     }
-    for (auto& it : table.peers) {
-        it.second.registered = named.contains(it.first);
-    }
-    std::erase_if(table.peers, [](const auto& it) {
-        return !it.second.registered && it.second.last_heard == time_point{};
+    std::erase_if(table.peers, [&named](const auto& it) {
+        return !named.contains(it.first) && it.second.last_heard == time_point{};
     });
     table.loaded = true;
-    note_known(table);
 }
 
-bool merge_status(peer_table& table, const gateway_status_message& status, const peer_pacing& pacing,
-                  time_point now) {
-    const auto found = table.peers.find(status.vm);
-    if (found == table.peers.end() && table.peers.size() >= max_peers) {
+bool merge_status(peer_table& table, const gateway_status_message& status, time_point now) {
+    if (!table.peers.contains(status.vm) && table.peers.size() >= max_peers) {
         return false;
     }
     auto& known = table.peers[status.vm];
-    const bool silent =
-        known.last_heard == time_point{} || now - known.last_heard > silence_limit(table, pacing);
-    if (!silent && !is_newer(status, known.status)) {
+    if (was_heard(known, now) && !is_newer(status, known.status)) {
         return false;
     }
+    known.record = {status.vm, status.failure_domain, status.peer_address};
     known.status = status;
     known.last_heard = now;
-    note_known(table);
+    known.dead_until = {};
+    if (status.failure_domain == table.own.failure_domain && !status.is_head) {
+        table.asked_as_head = now;
+    }
     return true;
 }
 
-duration status_interval(const peer_table& table, const peer_pacing& pacing) {
-    const auto stretched =
-        std::chrono::seconds(1) * static_cast<std::int64_t>(table.peers.size()) / pacing.sends_per_second;
-    return std::max(pacing.interval, duration(stretched));
+std::vector<vm_id> find_heads(peer_table& table, const failure_domain& domain, time_point now) {
+    std::vector<vm_id> heads;
+    for (const auto& id : ranked(table, domain)) {
+        if (heads.size() < heads_per_domain &&
+            (id == table.own.vm || is_usable_head(table.peers.at(id), now))) {
+            heads.push_back(id);
+        }
+    }
+    return heads;
 }
 
-bool is_reachable(const peer_table& table, const peer& it, const peer_pacing& pacing, time_point now) {
-    return it.last_heard != time_point{} && now - it.last_heard <= silence_limit(table, pacing);
+peer_duties find_duties(peer_table& table, time_point store_bad_since, time_point now) {
+    const auto heads = find_heads(table, table.own.failure_domain, now);
+    peer_duties duties;
+    duties.is_head = table.loaded && std::find(heads.begin(), heads.end(), table.own.vm) != heads.end();
+    const auto since = std::max(table.started, table.head_heard_at);
+    const bool isolated = now - since > isolation_limit;
+    bool takes_over = false;
+    if (store_bad_since != time_point{}) {
+        const auto order = ranked(table, table.own.failure_domain);
+        const auto position = std::find(order.begin(), order.end(), table.own.vm) - order.begin();
+        takes_over = now - store_bad_since >= position * takeover_step;
+    }
+    duties.watches = duties.is_head || isolated || takes_over;
+    duties.is_head = duties.watches || (table.asked_as_head != time_point{} &&
+                                        now - table.asked_as_head <= silence_limit);
+    return duties;
 }
 
-bool is_serving(const peer_table& table, const peer& it, const peer_pacing& pacing, time_point now) {
-    return it.status.state == member_state::live && it.status.routing_version != 0 &&
-           is_reachable(table, it, pacing, now);
+bool is_serving(const peer& it, time_point now) {
+    return was_heard(it, now) && it.status.state == member_state::live && it.status.routing_version != 0;
 }
 
-std::vector<socket_address> due_peers(peer_table& table, const peer_pacing& pacing, time_point now) {
-    const auto interval = status_interval(table, pacing);
-    std::vector<peer*> due;
-    for (auto& it : table.peers) {
-        if (now - it.second.last_sent >= interval) {
-            due.push_back(&it.second);
-        }
+std::vector<std::string> heard_addresses(const peer_table& table, const std::string& own_caller_address,
+                                         bool own_serves, time_point now) {
+    std::vector<std::string> addresses;
+    if (own_serves) {
+        addresses.push_back(own_caller_address);
     }
-    std::stable_sort(due.begin(), due.end(),
-                     [](const peer* left, const peer* right) { return left->last_sent < right->last_sent; });
-    std::vector<socket_address> addresses;
-    for (auto* it : due) {
-        it->last_sent = now;
-        addresses.emplace_back(it->status.peer_address);
+    for (const auto& it : table.peers) {
+        if (it.second.record.failure_domain == table.own.failure_domain && is_serving(it.second, now)) {
+            addresses.push_back(it.second.status.caller_address);
+        }
     }
     return addresses;
 }
 
-std::uint32_t serving_vms(const peer_table& table, const peer_pacing& pacing, time_point now) {
-    std::uint32_t n = 1;
-    for (const auto& it : table.peers) {
-        n += is_serving(table, it.second, pacing, now) ? 1 : 0;
-    }
-    return n;
+void apply_head_status(peer_table& table, const gateway_status_message& status, time_point now) {
+    table.head_heard_at = now;
+    table.domain_addresses = status.domain_addresses;
+    table.other_addresses = status.other_addresses;
+    table.fleet_size = std::max(1U, status.fleet_size);
 }
 
-std::vector<std::string> caller_addresses(const peer_table& table, const own_address& own,
-                                          const failure_domain& asked, std::size_t enough,
-                                          const peer_pacing& pacing, time_point now, random_source& random) {
-    std::vector<std::string> near;
-    std::vector<std::string> far;
-    if (own.serving) {
-        (own.failure_domain == asked ? near : far).push_back(own.caller_address);
-    }
-    for (const auto& it : table.peers) {
-        if (is_serving(table, it.second, pacing, now)) {
-            const bool same = it.second.status.failure_domain == asked;
-            (same ? near : far).push_back(it.second.status.caller_address);
-        }
-    }
+std::vector<std::string> caller_addresses(std::vector<std::string> near, std::vector<std::string> far,
+                                          std::size_t enough, random_source& random) {
     shuffle(near, random);
     shuffle(far, random);
     while (near.size() < enough && !far.empty()) {
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -21,31 +21,17 @@
     exchange.respond(status, {{"Content-Type", "application/json"}}, std::move(body));
 }
 
-/// Value of a parameter of the query, without decoding: names of failure domains need none.
-std::string query_value(const std::string& target, const std::string& name) {
-    const auto begin = target.find('?');
-    std::string_view rest =
-        begin == std::string::npos ? std::string_view() : std::string_view(target).substr(begin + 1);
-    while (!rest.empty()) {
-        const auto end = std::min(rest.find('&'), rest.size());
-        const auto item = rest.substr(0, end);
-        if (item.starts_with(name) && item.size() > name.size() && item[name.size()] == '=') {
-            return std::string(item.substr(name.size() + 1));
-        }
-        rest.remove_prefix(std::min(end + 1, rest.size()));
-    }
-    return {};
-}
-
 void answer_lookup(gateway_board& board, http_exchange& exchange) {
     if (exchange.path() != board.dialect.lookup_path) {
         respond_json(exchange, status_not_found, "{\"error\":\"path is not known\"}\n");
         return;
     }
-    const own_address own{board.conf.failure_domain, board.conf.caller_address.text, is_ready(board)};
-    const failure_domain asked(query_value(exchange.target(), board.dialect.lookup_domain_parameter));
-    const auto addresses = caller_addresses(board.peers, own, asked, enough_addresses, board.pacing,
-                                            boot_clock::now(), board.random);
+    auto near = board.peers.domain_addresses;
+    if (near.empty() && is_ready(board)) {
+        near.push_back(board.conf.caller_address.text);
+    }
+    const auto addresses =
+        caller_addresses(std::move(near), board.peers.other_addresses, enough_addresses, board.random);
     if (addresses.empty()) {
         count(board, "lookups_total{outcome=\"none\"}");
         respond_json(exchange, status_unavailable, "{\"error\":\"no VM takes requests now\"}\n");
@@ -77,14 +63,14 @@
 }
 
 std::string metrics_text(gateway_board& board) {
-    const auto now = boot_clock::now();
     auto& gauges = board.counters.gauges;
     gauges["gateway_open_requests"] = static_cast<double>(board.requests.size());
     gauges["gateway_routing_version"] =
         board.routes == nullptr ? 0.0 : static_cast<double>(board.routes->config.version.value);
     gauges["gateway_registered_servers"] = static_cast<double>(board.registry.entries.size());
     gauges["gateway_store_away"] = board.registry.store_is_away ? 1.0 : 0.0;
-    gauges["gateway_serving_vms"] = serving_vms(board.peers, board.pacing, now);
+    gauges["gateway_serving_vms"] = board.peers.fleet_size;
+    gauges["gateway_watches_store"] = board.duties.watches ? 1.0 : 0.0;
     gauges["gateway_log_lines_dropped"] = static_cast<double>(board.log.dropped);
     gauges["gateway_store_calls"] = static_cast<double>(board.store_access.counts.calls);
     gauges["gateway_store_call_failures"] = static_cast<double>(board.store_access.counts.failures);
@@ -109,7 +95,9 @@
 
 http_server::handlers metrics_handlers(gateway_board& board) {
     return answer_with([&board](http_exchange& exchange) {
-        exchange.respond(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_text(board));
+        if (!answer_peer(board, exchange)) {
+            exchange.respond(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_text(board));
+        }
     });
 }
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -14,6 +14,8 @@
 constexpr duration review_interval = 10ms;
 constexpr duration status_check_interval = 50ms;
 constexpr duration store_check_interval = 2s;
+// All VMs register when the system starts for the first time; a list read earlier would miss most of them.
+constexpr duration first_list_delay = 2500ms;
 constexpr duration stop_check_interval = 100ms;
 // Callers keep an address answer for its time, some of them three times as long.
 constexpr int address_keep_factor = 3;
@@ -85,13 +87,16 @@
 void gateway_process::state::start_timers() {
     review_timer = std::make_unique<timer>(board.loop, [this] { review(board); });
     review_timer->start(review_interval, review_interval);
-    status_timer = std::make_unique<timer>(board.loop, [this] { send_status(board); });
+    status_timer = std::make_unique<timer>(board.loop, [this] {
+        send_status(board, false);
+        update_watches(board);
+    });
     status_timer->start(status_check_interval, status_check_interval);
     store_timer = std::make_unique<timer>(board.loop, [this] {
         check_store(board);
         update_pools(board);
     });
-    store_timer->start(store_check_interval, store_check_interval);
+    store_timer->start(board.conf.first_start ? first_list_delay : duration::zero(), store_check_interval);
     stop_timer = std::make_unique<timer>(board.loop, [this] { check_stop(); });
 }
 
@@ -129,7 +134,15 @@
     if (auto failure = it->open_listeners(); failure.id != 0) {
         return tl::unexpected<error>(std::move(failure));
     }
-    start_store(board);
+    board.store_access.loop = loop;
+    board.store_access.client = board.store.get();
+    board.store_access.random = &board.random;
+    board.store_access.protocol = board.dialect.store;
+    board.peers.own = {board.conf.vm, board.conf.failure_domain, board.conf.peer_address.text};
+    board.peers.started = boot_clock::now() + (board.conf.first_start ? first_list_delay : duration::zero());
+    if (board.conf.first_start) {
+        register_own(board);
+    }
     it->start_timers();
     write_event(board.log, "started",
                 {{"callers", board.conf.caller_address.text},
@@ -147,10 +160,7 @@
     board.stop_began = boot_clock::now();
     write_event(board.log, "stopping", {{"open_requests", static_cast<std::int64_t>(board.requests.size())}});
     board.callers->announce_close();
-    for (auto& it : board.peers.peers) {
-        it.second.last_sent = {};
-    }
-    send_status(board);
+    send_status(board, true);
     m_state->stop_timer->start(stop_check_interval, stop_check_interval);
 }
 
--- a/src/gateway/knowledge.cpp
+++ b/src/gateway/knowledge.cpp
@@ -10,6 +10,10 @@
 
 constexpr duration check_deadline = 800ms;
 constexpr byte_count max_check_reply{4UL << 20U};
+// VMs that are not heads read the list of VMs at this interval.
+constexpr duration member_list_interval = 10s;
+// A peer that missed more changes gets the whole list.
+constexpr std::size_t max_logged_changes = 256;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_conflict = 409;
 // Part of the platform's retry allowance that is handed out: VMs that restart begin with a new share.
@@ -30,29 +34,26 @@
     note_store_away(board.registry);
 }
 
-void apply_routing(gateway_board& board, const stored_object& object, store_revision revision) {
-    auto config = board.dialect.read_routing(object.content);
-    if (!config) {
-        write_event(board.log, "routing_rejected",
-                    {{"object", object.name}, {"cause", config.error().message}});
-        return;
-    }
-    if (board.routes != nullptr && config->version <= board.routes->config.version) {
-        return;
-    }
-    const bool had_routes = board.routes != nullptr;
-    const auto old_version = had_routes ? board.routes->config.version.value : 0;
-    board.routing_revision = revision;
-    board.routes = make_route_table(std::move(*config));
-    write_event(board.log, "routing_applied",
-                {{"version", static_cast<std::int64_t>(board.routes->config.version.value)},
-                 {"replaces", static_cast<std::int64_t>(old_version)},
-                 {"routes", static_cast<std::int64_t>(board.routes->config.routes.size())},
-                 {"store_revision", static_cast<std::int64_t>(revision.value)}});
-    update_pools(board);
-    if (!had_routes) {
-        send_status(board);
+/// An entry that cannot be read names no server to use; a server that was known under its name stays as it
+/// was.
+std::optional<registered_server> readable(gateway_board& board, const stored_object& object) {
+    auto server = board.dialect.read_server(object.name, object.content);
+    if (server) {
+        return std::move(*server);
     }
+    count(board, "server_entries_unreadable_total");
+    write_event(board.log, "server_entry_unreadable",
+                {{"server", object.name}, {"cause", server.error().message}});
+    return std::nullopt;
+}
+
+void log_server(gateway_board& board, const registered_server& it, std::string_view source) {
+    write_event(board.log, "server_entry",
+                {{"server", it.id.text},
+                 {"service", it.service.text},
+                 {"address", it.address.text},
+                 {"draining", it.draining},
+                 {"source", source}});
 }
 
 object_reflector::handlers routing_handlers(gateway_board& board) {
@@ -82,69 +83,13 @@
     return handlers;
 }
 
-/// An entry that cannot be read names no server to use; a server that was known under its name stays as it
-/// was.
-std::optional<registered_server> readable(gateway_board& board, const stored_object& object) {
-    auto server = board.dialect.read_server(object.name, object.content);
-    if (server) {
-        return std::move(*server);
-    }
-    count(board, "server_entries_unreadable_total");
-    write_event(board.log, "server_entry_unreadable",
-                {{"server", object.name}, {"cause", server.error().message}});
-    return std::nullopt;
-}
-
-void log_server(gateway_board& board, const registered_server& it, std::string_view source) {
-    write_event(board.log, "server_entry",
-                {{"server", it.id.text},
-                 {"service", it.service.text},
-                 {"address", it.address.text},
-                 {"draining", it.draining},
-                 {"source", source}});
-}
-
-void take_server_list(gateway_board& board, const std::vector<stored_object>& objects, store_revision at) {
-    std::vector<registered_server> listed;
-    listed.reserve(objects.size());
-    for (const auto& it : objects) {
-        if (auto server = readable(board, it)) {
-            listed.push_back(std::move(*server));
-        }
-    }
-    apply_listed(board.registry, listed, boot_clock::now());
-    board.servers_revision = at;
-    write_event(board.log, "servers_listed",
-                {{"entries", static_cast<std::int64_t>(listed.size())},
-                 {"store_revision", static_cast<std::int64_t>(at.value)}});
-    update_pools(board);
-}
-
-void take_server_changes(gateway_board& board, const std::vector<object_change>& changes, store_revision at) {
-    for (const auto& it : changes) {
-        if (it.removed) {
-            write_event(board.log, "server_entry_removed",
-                        {{"server", it.object.name},
-                         {"store_revision", static_cast<std::int64_t>(it.object.changed_at.value)}});
-            apply_removed(board.registry, server_id(it.object.name), boot_clock::now());
-        } else if (const auto server = readable(board, it.object)) {
-            log_server(board, *server, "watch");
-            apply_changed(board.registry, *server);
-        } else {
-            apply_removed(board.registry, server_id(it.object.name), boot_clock::now());
-        }
-    }
-    board.servers_revision = at;
-    update_pools(board);
-}
-
 object_reflector::handlers server_handlers(gateway_board& board) {
     object_reflector::handlers handlers;
     handlers.on_list = [&board](const std::vector<stored_object>& objects, store_revision at) {
-        take_server_list(board, objects, at);
+        apply_server_list(board, objects, at);
     };
     handlers.on_changes = [&board](const std::vector<object_change>& changes, store_revision at) {
-        take_server_changes(board, changes, at);
+        apply_server_changes(board, changes, at);
     };
     handlers.on_answer = [&board] { note_answer(board); };
     handlers.on_failure = [&board](const std::string& cause) {
@@ -170,9 +115,9 @@
     for (const auto& it : servers_of(board.registry, conf.id)) {
         listed.push_back(to_listed(it, conf.max_connections));
     }
-    const auto vms = serving_vms(board.peers, board.pacing, now);
+    const auto vms = board.peers.fleet_size;
     update_servers(pool, listed, {}, vms, now);
-    const auto known = static_cast<double>(std::max<std::size_t>(board.peers.most_known, vms));
+    const auto known = static_cast<double>(std::max<std::size_t>(board.peers.peers.size() + 1, vms));
     const double share = board.peers.loaded ? used_allowance * board.conf.retry_allowance / known : 0.0;
     if (service.retries.max_tokens == 0.0) {
         service.retries.tokens = share / 2;
@@ -183,7 +128,6 @@
 /// Content of this VM's registration.
 nlohmann::json own_record(const gateway_board& board) {
     return {{"failure_domain", board.conf.failure_domain.text},
-            {"caller_address", board.conf.caller_address.text},
             {"peer_address", board.conf.peer_address.text}};
 }
 
@@ -192,20 +136,22 @@
     return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
-void take_vm_list(gateway_board& board, const object_page& page) {
+/// Takes over the complete list; a VM that is not in it as it should be registers.
+void take_vm_list(gateway_board& board, const std::vector<stored_object>& objects) {
     std::vector<registered_vm> listed;
-    for (const auto& it : page.objects) {
+    bool has_own = false;
+    for (const auto& it : objects) {
         if (it.content.is_object() && !text_of(it.content, "peer_address").empty()) {
             listed.push_back({vm_id(it.name), failure_domain(text_of(it.content, "failure_domain")),
-                              text_of(it.content, "caller_address"), text_of(it.content, "peer_address")});
+                              text_of(it.content, "peer_address")});
         }
+        has_own = has_own || (it.name == board.conf.vm.text && it.content == own_record(board));
     }
-    const bool first = !board.peers.loaded;
-    apply_registered(board.peers, listed, board.conf.vm);
-    if (first) {
-        update_pools(board);
-        send_status(board);
+    if (!has_own && !board.registered) {
+        register_own(board);
     }
+    apply_registered(board.peers, listed);
+    send_status(board, false);
 }
 
 void send_check(gateway_board& board, http_request request, std::function<void(const http_reply&)> on_reply) {
@@ -214,6 +160,131 @@
     fetch(*board.store, std::move(request), max_check_reply, std::move(on_reply));
 }
 
+void log_change(gateway_board& board, const object_change& change, store_revision at) {
+    if (change.removed) {
+        board.server_objects.erase(change.object.name);
+    } else {
+        board.server_objects[change.object.name] = change.object.content;
+    }
+    board.server_log.push_back({at, change});
+    if (board.server_log.size() > max_logged_changes) {
+        board.server_log_begin = board.server_log.front().seen_at;
+        board.server_log.pop_front();
+    }
+}
+
+/// Reads the list of VMs page by page. One that is seconds old does: VMs rarely change, and peers tell about
+/// themselves.
+void list_vms(gateway_board& board, std::vector<stored_object> objects, const std::string& after) {
+    auto request = board.dialect.store.list_stale(board.dialect.vm_kind, after);
+    send_check(board, std::move(request), [&board, objects](const http_reply& reply) mutable {
+        const bool answered = reply.end.failure == transfer_failure::none && reply.end.status == status_ok;
+        auto page = answered ? board.dialect.store.parse_page(reply.body)
+                             : result<object_page>(fail("gateway", 1, "store did not answer"));
+        if (!page) {
+            board.check_failed = true;
+            return;
+        }
+        std::move(page->objects.begin(), page->objects.end(), std::back_inserter(objects));
+        if (page->more && !page->objects.empty()) {
+            const auto last = objects.back().name;
+            list_vms(board, std::move(objects), last);
+            return;
+        }
+        take_vm_list(board, objects);
+        if (board.check_failed && board.routing_reflector != nullptr) {
+            // Watches that were open during the outage may never be answered.
+            board.routing_reflector->list_again();
+            board.server_reflector->list_again();
+        }
+        board.check_failed = false;
+    });
+}
+
+} // namespace
+
+void apply_routing(gateway_board& board, const stored_object& object, store_revision revision) {
+    auto config = board.dialect.read_routing(object.content);
+    if (!config) {
+        write_event(board.log, "routing_rejected",
+                    {{"object", object.name}, {"cause", config.error().message}});
+        return;
+    }
+    if (board.routes != nullptr && config->version <= board.routes->config.version) {
+        return;
+    }
+    const bool had_routes = board.routes != nullptr;
+    const auto old_version = had_routes ? board.routes->config.version.value : 0;
+    board.routing_revision = revision;
+    board.routing_content = object.content;
+    board.packed_routing.clear();
+    board.routes = make_route_table(std::move(*config));
+    write_event(board.log, "routing_applied",
+                {{"version", static_cast<std::int64_t>(board.routes->config.version.value)},
+                 {"replaces", static_cast<std::int64_t>(old_version)},
+                 {"routes", static_cast<std::int64_t>(board.routes->config.routes.size())},
+                 {"store_revision", static_cast<std::int64_t>(revision.value)}});
+    update_pools(board);
+    send_status(board, true);
+}
+
+void apply_server_list(gateway_board& board, const std::vector<stored_object>& objects, store_revision at) {
+    std::vector<registered_server> listed;
+    listed.reserve(objects.size());
+    for (const auto& it : objects) {
+        if (auto server = readable(board, it)) {
+            listed.push_back(std::move(*server));
+        }
+    }
+    apply_listed(board.registry, listed, boot_clock::now());
+    board.server_objects.clear();
+    for (const auto& it : objects) {
+        board.server_objects[it.name] = it.content;
+    }
+    board.server_log.clear();
+    board.server_log_begin = at;
+    board.servers_revision = at;
+    write_event(board.log, "servers_listed",
+                {{"entries", static_cast<std::int64_t>(listed.size())},
+                 {"store_revision", static_cast<std::int64_t>(at.value)}});
+    update_pools(board);
+    send_status(board, true);
+}
+
+void apply_server_changes(gateway_board& board, const std::vector<object_change>& changes, store_revision at) {
+    for (const auto& it : changes) {
+        log_change(board, it, at);
+        if (it.removed) {
+            write_event(board.log, "server_entry_removed",
+                        {{"server", it.object.name},
+                         {"store_revision", static_cast<std::int64_t>(it.object.changed_at.value)}});
+            apply_removed(board.registry, server_id(it.object.name), boot_clock::now());
+        } else if (const auto server = readable(board, it.object)) {
+            log_server(board, *server, "watch");
+            apply_changed(board.registry, *server);
+        } else {
+            apply_removed(board.registry, server_id(it.object.name), boot_clock::now());
+        }
+    }
+    board.servers_revision = at;
+    update_pools(board);
+    send_status(board, true);
+}
+
+void update_watches(gateway_board& board) {
+    if (!board.duties.watches) {
+        board.routing_reflector.reset();
+        board.server_reflector.reset();
+        return;
+    }
+    if (board.routing_reflector == nullptr) {
+        board.routing_reflector = std::make_unique<object_reflector>(
+            board.store_access, board.dialect.routing_kind, routing_handlers(board));
+        board.server_reflector = std::make_unique<object_reflector>(
+            board.store_access, board.dialect.server_kind, server_handlers(board));
+    }
+}
+
 void register_own(gateway_board& board) {
     auto request = board.dialect.store.create(board.dialect.vm_kind, board.conf.vm.text, own_record(board));
     send_check(board, std::move(request), [&board](const http_reply& reply) {
@@ -230,43 +301,14 @@
     });
 }
 
-} // namespace
-
-void start_store(gateway_board& board) {
-    board.store_access.loop = board.loop;
-    board.store_access.client = board.store.get();
-    board.store_access.random = &board.random;
-    board.store_access.protocol = board.dialect.store;
-    board.routing_reflector = std::make_unique<object_reflector>(
-        board.store_access, board.dialect.routing_kind, routing_handlers(board));
-    board.server_reflector = std::make_unique<object_reflector>(board.store_access, board.dialect.server_kind,
-                                                                server_handlers(board));
-    check_store(board);
-}
-
 void check_store(gateway_board& board) {
-    if (!board.registered) {
-        register_own(board);
+    const bool due = board.duties.watches || !board.peers.loaded ||
+                     boot_clock::now() - board.listed_at >= member_list_interval;
+    if (!due) {
+        return;
     }
-    // A fresh list is needed once; afterwards peers tell about themselves and an old one does.
-    auto request = board.peers.loaded ? board.dialect.store.list_stale(board.dialect.vm_kind)
-                                      : board.dialect.store.list(board.dialect.vm_kind, "");
-    send_check(board, std::move(request), [&board](const http_reply& reply) {
-        const bool answered = reply.end.failure == transfer_failure::none && reply.end.status == status_ok;
-        const auto page = answered ? board.dialect.store.parse_page(reply.body)
-                                   : result<object_page>(fail("gateway", 1, "store did not answer"));
-        if (!page) {
-            board.check_failed = true;
-            return;
-        }
-        take_vm_list(board, *page);
-        if (board.check_failed) {
-            // Watches that were open during the outage may never be answered.
-            board.check_failed = false;
-            board.routing_reflector->list_again();
-            board.server_reflector->list_again();
-        }
-    });
+    board.listed_at = boot_clock::now();
+    list_vms(board, {}, "");
 }
 
 void update_pools(gateway_board& board) {
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -1,9 +1,66 @@
 #include "endivelever/gateway/controllers.hpp"
 #include "endivelever/net/datagram_socket.hpp"
 
+#include <algorithm>
+#include <set>
+
 namespace endivelever {
 namespace {
 
+using namespace std::chrono_literals;
+
+// Enough for callers whose own domain has no VM left.
+constexpr std::size_t max_other_addresses = 6;
+// Heads of other domains hear of this one at this interval, and at once of a change.
+constexpr duration domain_interval = 500ms;
+
+bool is_own_domain(const gateway_board& board, const peer& it) {
+    return it.record.failure_domain == board.conf.failure_domain;
+}
+
+std::set<failure_domain> known_domains(const peer_table& table) {
+    std::set<failure_domain> domains{table.own.failure_domain};
+    for (const auto& it : table.peers) {
+        domains.insert(it.second.record.failure_domain);
+    }
+    return domains;
+}
+
+/// The last heard status of a head of each other domain.
+std::vector<const gateway_status_message*> other_domains(const gateway_board& board, time_point now) {
+    std::map<failure_domain, const gateway_status_message*> latest;
+    for (const auto& it : board.peers.peers) {
+        const auto& status = it.second.status;
+        const bool recent = now - it.second.last_heard <= 2 * domain_interval + silence_limit;
+        if (!is_own_domain(board, it.second) && status.is_head && recent) {
+            auto& known = latest[it.second.record.failure_domain];
+            known = known == nullptr || status.sequence > known->sequence ? &status : known;
+        }
+    }
+    std::vector<const gateway_status_message*> found;
+    for (const auto& it : latest) {
+        found.push_back(it.second);
+    }
+    return found;
+}
+
+/// Brings up to date what this VM, as a head, tells about its domain and the others.
+void refresh_own_view(gateway_board& board, time_point now) {
+    auto& table = board.peers;
+    table.domain_addresses =
+        heard_addresses(table, board.conf.caller_address.text, is_ready(board), now);
+    table.other_addresses.clear();
+    table.fleet_size = static_cast<std::uint32_t>(table.domain_addresses.size());
+    for (const auto* it : other_domains(board, now)) {
+        table.fleet_size += static_cast<std::uint32_t>(it->domain_addresses.size());
+        for (const auto& address : it->domain_addresses) {
+            if (table.other_addresses.size() < max_other_addresses) {
+                table.other_addresses.push_back(address);
+            }
+        }
+    }
+}
+
 gateway_status_message own_status(gateway_board& board) {
     gateway_status_message status;
     status.vm = board.conf.vm;
@@ -13,23 +70,103 @@
     status.failure_domain = board.conf.failure_domain;
     status.caller_address = board.conf.caller_address.text;
     status.peer_address = board.conf.peer_address.text;
+    status.relay_address = board.conf.metrics_address.text;
     status.routing_version = is_ready(board) ? board.routes->config.version.value : 0;
-    status.routing_revision = board.routing_revision.value;
     status.servers_revision = board.servers_revision.value;
+    status.is_head = board.duties.is_head;
+    if (status.is_head) {
+        status.store_answers = board.duties.watches && !board.registry.store_is_away;
+        status.fleet_size = board.peers.fleet_size;
+        status.domain_addresses = board.peers.domain_addresses;
+        status.other_addresses = board.peers.other_addresses;
+    }
     return status;
 }
 
-} // namespace
+/// VMs that are to hear of this one: for a head all of its domain and the heads of the others, otherwise the
+/// heads of its domain.
+std::set<vm_id> receivers(gateway_board& board, time_point now) {
+    std::set<vm_id> ids;
+    for (const auto& domain : known_domains(board.peers)) {
+        const bool own = domain == board.conf.failure_domain;
+        if (!own && !board.duties.is_head) {
+            continue;
+        }
+        if (own && board.duties.is_head) {
+            for (const auto& it : board.peers.peers) {
+                if (is_own_domain(board, it.second)) {
+                    ids.insert(it.first);
+                }
+            }
+            continue;
+        }
+        for (const auto& head : find_heads(board.peers, domain, now)) {
+            ids.insert(head);
+        }
+    }
+    ids.erase(board.conf.vm);
+    return ids;
+}
 
-void send_status(gateway_board& board) {
-    const auto now = boot_clock::now();
-    const auto due = due_peers(board.peers, board.pacing, now);
-    if (due.empty()) {
+/// Since when no head that this VM hears has access to the store; default if one has or none is heard.
+time_point store_bad_since(gateway_board& board, time_point now) {
+    bool heard = false;
+    bool good = false;
+    for (const auto& it : board.peers.peers) {
+        if (is_own_domain(board, it.second) && it.second.status.is_head &&
+            now - it.second.last_heard <= silence_limit) {
+            heard = true;
+            good = good || it.second.status.store_answers;
+        }
+    }
+    if (!heard || good) {
+        board.store_bad_since = {};
+    } else if (board.store_bad_since == time_point{}) {
+        board.store_bad_since = now;
+    }
+    return board.store_bad_since;
+}
+
+void note_domain_store(gateway_board& board, const gateway_status_message& status, time_point now) {
+    if (board.duties.watches) {
         return;
     }
-    const auto payload = encode(own_status(board));
-    for (const auto& it : due) {
-        board.peer_socket->send(it, payload);
+    if (status.store_answers) {
+        note_store_answer(board.registry, now);
+    } else if (board.store_bad_since != time_point{}) {
+        note_store_away(board.registry);
+    }
+}
+
+} // namespace
+
+void review_peers(gateway_board& board, time_point now) {
+    const auto before = board.duties;
+    board.duties = find_duties(board.peers, store_bad_since(board, now), now);
+    if (before.watches != board.duties.watches) {
+        write_event(board.log, board.duties.watches ? "watch_taken_over" : "watch_handed_over",
+                    {{"servers_revision", static_cast<std::int64_t>(board.servers_revision.value)}});
+    }
+    if (board.duties.is_head) {
+        refresh_own_view(board, now);
+    }
+}
+
+void send_status(gateway_board& board, bool at_once) {
+    const auto now = boot_clock::now();
+    review_peers(board, now);
+    std::string payload;
+    for (const auto& id : receivers(board, now)) {
+        auto& it = board.peers.peers.at(id);
+        const auto interval = is_own_domain(board, it) ? status_interval : domain_interval;
+        if (!at_once && now - it.last_sent < interval) {
+            continue;
+        }
+        if (payload.empty()) {
+            payload = encode(own_status(board));
+        }
+        it.last_sent = now;
+        board.peer_socket->send(socket_address(it.record.peer_address), payload);
     }
 }
 
@@ -41,16 +178,19 @@
         return;
     }
     const auto now = boot_clock::now();
-    const auto known = board.peers.peers.find(status->vm);
-    const bool was_serving =
-        known != board.peers.peers.end() && is_serving(board.peers, known->second, board.pacing, now);
-    if (!merge_status(board.peers, *status, board.pacing, now)) {
+    if (!merge_status(board.peers, *status, now)) {
         return;
     }
-    const bool serves = is_serving(board.peers, board.peers.peers[status->vm], board.pacing, now);
-    if (serves != was_serving) {
-        write_event(board.log, serves ? "peer_serving" : "peer_leaving", {{"peer", status->vm.text}});
+    const bool is_own_head = status->is_head && status->failure_domain == board.conf.failure_domain;
+    if (is_own_head) {
+        note_domain_store(board, *status, now);
+        if (board.duties.is_head) {
+            board.peers.head_heard_at = now;
+        } else {
+            apply_head_status(board.peers, *status, now);
+        }
     }
+    pull_if_newer(board, *status);
 }
 
 } // namespace endivelever
--- /dev/null
+++ b/src/gateway/relay.cpp
@@ -0,0 +1,197 @@
+#include "endivelever/gateway/controllers.hpp"
+
+#include <cstring>
+#include <zlib.h>
+
+namespace endivelever {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr const char* routing_path = "/peer/routing";
+constexpr const char* servers_path = "/peer/servers";
+constexpr const char* since_parameter = "?since=";
+// A peer in the same failure domain answers in milliseconds; a large configuration takes longer.
+constexpr duration pull_deadline = 1500ms;
+constexpr byte_count max_pulled{8UL << 20U};
+constexpr std::size_t max_unpacked = 64UL << 20U;
+
+std::string pack(const std::string& text) {
+    uLongf size = compressBound(static_cast<uLong>(text.size()));
+    std::string out(sizeof(std::uint64_t) + size, '\0');
+    const std::uint64_t length = text.size();
+    std::memcpy(out.data(), &length, sizeof length);
+    compress(reinterpret_cast<Bytef*>(out.data() + sizeof length), &size,
+             reinterpret_cast<const Bytef*>(text.data()), static_cast<uLong>(text.size()));
+    out.resize(sizeof length + size);
+    return out;
+}
+
+json unpack(const std::string& packed) {
+    std::uint64_t length = 0;
+    if (packed.size() < sizeof length) {
+        return {};
+    }
+    std::memcpy(&length, packed.data(), sizeof length);
+    if (length > max_unpacked) {
+        return {};
+    }
+    std::string text(length, '\0');
+    uLongf size = static_cast<uLongf>(length);
+    const auto code = uncompress(reinterpret_cast<Bytef*>(text.data()), &size,
+                                 reinterpret_cast<const Bytef*>(packed.data() + sizeof length),
+                                 static_cast<uLong>(packed.size() - sizeof length));
+    return code == Z_OK && size == length ? json::parse(text, nullptr, false) : json();
+}
+
+std::string servers_since(const gateway_board& board, std::uint64_t since) {
+    const auto now = boot_clock::now();
+    const auto& log = board.server_log;
+    const bool from_log = since >= board.server_log_begin.value && since != 0;
+    json changed = json::array();
+    if (from_log) {
+        for (const auto& it : log) {
+            if (it.seen_at.value > since) {
+                changed.push_back({{"name", it.change.object.name},
+                                   {"removed", it.change.removed},
+                                   {"content", it.change.object.content}});
+            }
+        }
+    } else {
+        for (const auto& it : board.server_objects) {
+            changed.push_back({{"name", it.first}, {"removed", false}, {"content", it.second}});
+        }
+    }
+    const bool was_away = board.registry.store_back_at != time_point{};
+    const json body{{"revision", board.servers_revision.value},
+                    {"complete", !from_log},
+                    {"store_away", board.registry.store_is_away},
+                    {"store_back_ms", was_away ? to_milliseconds(now - board.registry.store_back_at) : -1.0},
+                    {"changed", std::move(changed)}};
+    return pack(body.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+std::vector<object_change> read_changes(const json& body) {
+    std::vector<object_change> changes;
+    for (const auto& it : body.at("changed")) {
+        object_change change;
+        change.object.name = it.at("name").get<std::string>();
+        change.object.content = it.at("content");
+        change.removed = it.at("removed").get<bool>();
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+/// A removal near an outage of the store may be an entry that lapsed; the peer knows when the store came back.
+void take_store_state(gateway_board& board, const json& body, time_point now) {
+    if (board.duties.watches) {
+        return;
+    }
+    const double back_ms = body.at("store_back_ms").get<double>();
+    if (body.at("store_away").get<bool>()) {
+        note_store_away(board.registry);
+    } else if (back_ms >= 0.0) {
+        note_store_answer(board.registry, now);
+        board.registry.store_back_at = now - from_milliseconds(back_ms);
+    }
+}
+
+void take_servers(gateway_board& board, const json& body) {
+    const store_revision revision{body.at("revision").get<std::uint64_t>()};
+    if (revision <= board.servers_revision) {
+        return;
+    }
+    take_store_state(board, body, boot_clock::now());
+    const auto changes = read_changes(body);
+    if (!body.at("complete").get<bool>()) {
+        apply_server_changes(board, changes, revision);
+        return;
+    }
+    std::vector<stored_object> objects;
+    for (const auto& it : changes) {
+        objects.push_back(it.object);
+    }
+    apply_server_list(board, objects, revision);
+}
+
+void take_routing(gateway_board& board, const json& body) {
+    stored_object object;
+    object.name = board.dialect.routing_object;
+    object.content = body.at("content");
+    apply_routing(board, object, store_revision{body.at("revision").get<std::uint64_t>()});
+}
+
+void pull(gateway_board& board, const std::string& address, std::string target, bool& in_progress,
+          void (*take)(gateway_board&, const json&)) {
+    if (in_progress) {
+        return;
+    }
+    in_progress = true;
+    http_request request;
+    request.address = socket_address(address);
+    request.target = std::move(target);
+    request.headers.push_back({"Host", address});
+    request.timeout = pull_deadline;
+    request.connect_timeout = 500ms;
+    count(board, "peer_pulls_total");
+    fetch(*board.store, std::move(request), max_pulled, [&board, &in_progress, take](const http_reply& reply) {
+        in_progress = false;
+        if (reply.end.failure != transfer_failure::none || reply.end.status != status_ok) {
+            count(board, "peer_pull_failures_total");
+            return;
+        }
+        try {
+            take(board, unpack(reply.body));
+        } catch (const json::exception& it) {
+            count(board, "peer_pull_failures_total");
+            write_event(board.log, "peer_answer_unreadable", {{"cause", std::string_view(it.what())}});
+        }
+    });
+}
+
+} // namespace
+
+void pull_if_newer(gateway_board& board, const gateway_status_message& status) {
+    const auto own_version = board.routes == nullptr ? 0 : board.routes->config.version.value;
+    if (status.routing_version > own_version) {
+        pull(board, status.relay_address, routing_path, board.pulls_routing, &take_routing);
+    }
+    if (status.servers_revision > board.servers_revision.value) {
+        pull(board, status.relay_address,
+             servers_path + std::string(since_parameter) + std::to_string(board.servers_revision.value),
+             board.pulls_servers, &take_servers);
+    }
+}
+
+bool answer_peer(gateway_board& board, http_exchange& exchange) {
+    const auto path = exchange.path();
+    const http_headers headers{{"Content-Type", "application/octet-stream"}};
+    if (path == routing_path && board.routes != nullptr) {
+        if (board.packed_routing.empty()) {
+            const json body{{"revision", board.routing_revision.value}, {"content", board.routing_content}};
+            board.packed_routing = pack(body.dump(-1, ' ', false, json::error_handler_t::replace));
+        }
+        exchange.respond(status_ok, headers, board.packed_routing);
+        return true;
+    }
+    if (path == servers_path && board.registry.loaded) {
+        const auto& target = exchange.target();
+        const auto at = target.find(since_parameter);
+        const auto since = at == std::string::npos
+                               ? 0
+                               : std::strtoull(target.c_str() + at + std::strlen(since_parameter), nullptr, 10);
+        exchange.respond(status_ok, headers, servers_since(board, since));
+        return true;
+    }
+    if (path == routing_path || path == servers_path) {
+        exchange.respond(status_not_found, {}, "not known yet\n");
+        return true;
+    }
+    return false;
+}
+
+} // namespace endivelever
--- a/src/gateway/upkeep.cpp
+++ b/src/gateway/upkeep.cpp
@@ -59,7 +59,7 @@
         servers += it.second.pool.servers.size();
     }
     credit_probes(board.probes, board.conf.probes_per_server_per_second, servers,
-                  serving_vms(board.peers, board.pacing, now), now);
+                  board.peers.fleet_size, now);
     if (drop_missing(board.registry, now)) {
         update_pools(board);
     }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -90,9 +90,12 @@
     const auto domain = out.CreateString(value.failure_domain.text);
     const auto caller = out.CreateString(value.caller_address);
     const auto peer = out.CreateString(value.peer_address);
+    const auto relay = out.CreateString(value.relay_address);
+    const auto near = out.CreateVectorOfStrings(value.domain_addresses);
+    const auto far = out.CreateVectorOfStrings(value.other_addresses);
     return fb::CreateGatewayStatus(out, vm, value.life.value, value.sequence, to_fb(value.state), domain,
-                                   caller, peer, value.routing_version, value.routing_revision,
-                                   value.servers_revision)
+                                   caller, peer, relay, value.routing_version, value.servers_revision,
+                                   value.is_head, value.store_answers, value.fleet_size, near, far)
         .Union();
 }
 
@@ -222,16 +225,23 @@
     if (!known(value->state())) {
         in.within(1, 0, "gateway state");
     }
-    return gateway_status_message{vm_id(in.name(value->vm())),
-                                  incarnation{value->life()},
-                                  value->sequence(),
-                                  from_fb(value->state()),
-                                  failure_domain(in.name(value->failure_domain())),
-                                  in.name(value->caller_address()),
-                                  in.name(value->peer_address()),
-                                  value->routing_version(),
-                                  value->routing_revision(),
-                                  value->servers_revision()};
+    const auto address = [&in](const flatbuffers::String* it) { return in.name(it); };
+    return gateway_status_message{
+        vm_id(in.name(value->vm())),
+        incarnation{value->life()},
+        value->sequence(),
+        from_fb(value->state()),
+        failure_domain(in.name(value->failure_domain())),
+        in.name(value->caller_address()),
+        in.name(value->peer_address()),
+        in.name(value->relay_address()),
+        value->routing_version(),
+        value->servers_revision(),
+        value->is_head(),
+        value->store_answers(),
+        value->fleet_size(),
+        in.list(value->domain_addresses(), wire_limits::members, "domain addresses", address),
+        in.list(value->other_addresses(), wire_limits::members, "other addresses", address)};
 }
 
 result<message> unpack(reader& in, const fb::Envelope* value) {
