Test placement, registry, peers, reflector, gateway and the platform's formats

Tables of cases run the gateway in one process against stand-ins of the store (pages, watches, 409, 410, 429, 503, lost answers) and of servers (errors, sheds, broken, hung, truncated and foreign responses). Found by them: a VM whose registration was answered by a lost answer never counted as registered.

--- a/src/gateway/knowledge.cpp
+++ b/src/gateway/knowledge.cpp
@@ -147,7 +147,8 @@
         }
         has_own = has_own || (it.name == board.conf.vm.text && it.content == own_record(board));
     }
-    if (!has_own && !board.registered) {
+    board.registered = board.registered || has_own;
+    if (!board.registered) {
         register_own(board);
     }
     apply_registered(board.peers, listed);
--- /dev/null
+++ b/tests/contract/gateway_test.cpp
@@ -0,0 +1,205 @@
+#include "contract/gateway_fixture.hpp"
+
+namespace endivelever::http_test {
+namespace {
+
+using manner = fake_target::manner;
+
+// Guards against changed methods, paths, bodies and ids, and a lost signature.
+TEST_F(gateway_fixture, passes_request_and_response_on_unchanged) {
+    auto& gateway = start(1);
+    const auto& result = call(gateway, "/once/a%20b?c=d", "id-1", "payload");
+    EXPECT_EQ(200U, result.status);
+    EXPECT_EQ("answer", result.body);
+    EXPECT_EQ("sig-id-1", *find_header(result.headers, "X-Response-Signature"));
+    const auto& target = *targets.front();
+    ASSERT_EQ(1U, target.ran.size());
+    EXPECT_EQ("payload", target.bodies.at("id-1"));
+    EXPECT_EQ("i-0", *find_header(target.heads.at("id-1"), "X-Expect-Instance"));
+    const auto* deadline = find_header(target.heads.at("id-1"), "X-Deadline-Ms");
+    ASSERT_NE(nullptr, deadline);
+    EXPECT_LE(std::stoi(*deadline), 600);
+}
+
+// Guards against a 404 from a VM that knows no configuration yet: callers do not repeat after it.
+TEST_F(gateway_fixture, answers_unavailable_until_a_configuration_is_known) {
+    auto& gateway = add_gateway("vm-1");
+    EXPECT_EQ(503U, call(gateway, "/again/x", "id-1").status);
+    put_config("00000001");
+    add_target("i-0");
+    ASSERT_TRUE(loop.run_until([&] { return is_ready(gateway.board()); }));
+    EXPECT_EQ(200U, call(gateway, "/again/x", "id-2").status);
+    EXPECT_EQ(404U, call(gateway, "/unknown/x", "id-3").status);
+    host = "other.example";
+    EXPECT_EQ(404U, call(gateway, "/again/x", "id-4").status);
+}
+
+struct failure_case {
+    const char* name;
+    manner behaviour;
+    const char* path;
+    unsigned status;  ///< that the caller gets
+    std::size_t runs; ///< over all servers
+};
+
+struct gateway_failure : gateway_fixture, testing::WithParamInterface<failure_case> {};
+
+// Guards against a second run of a request that may run once only, against a status that denies a run, and
+// against a response that belongs to another request.
+TEST_P(gateway_failure, ends_truthfully) {
+    auto& gateway = start(2);
+    behave(GetParam().behaviour);
+    const auto& result = call(gateway, GetParam().path, "id-1", "payload");
+    EXPECT_EQ(GetParam().status, result.status);
+    EXPECT_EQ(GetParam().runs, runs());
+    if (result.status != 500) {
+        EXPECT_EQ(nullptr, find_header(result.headers, "X-Response-Signature"));
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    kinds, gateway_failure,
+    testing::Values(failure_case{"errors_once", manner::errors, "/once/x", 500, 1},
+                    failure_case{"errors_again", manner::errors, "/again/x", 500, 2},
+                    failure_case{"sheds_once", manner::sheds, "/once/x", 503, 0},
+                    failure_case{"sheds_again", manner::sheds, "/again/x", 503, 0},
+                    failure_case{"denies_once", manner::denies, "/once/x", 502, 1},
+                    failure_case{"breaks_once", manner::breaks, "/once/x", 502, 1},
+                    failure_case{"breaks_again", manner::breaks, "/again/x", 502, 2},
+                    failure_case{"hangs_once", manner::hangs, "/once/x", 504, 1},
+                    failure_case{"wrong_id_once", manner::wrong_id, "/once/x", 502, 1},
+                    failure_case{"wrong_id_again", manner::wrong_id, "/again/x", 502, 2},
+                    failure_case{"without_id_once", manner::without_id, "/once/x", 502, 1},
+                    failure_case{"truncates_once", manner::truncates, "/once/x", 502, 1}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against giving up where another server could answer.
+TEST_F(gateway_fixture, repeats_at_another_server) {
+    auto& gateway = start(2);
+    targets[0]->behaviour = manner::breaks;
+    targets[1]->behaviour = manner::serves;
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(200U, call(gateway, "/again/x", "id-" + std::to_string(i)).status);
+    }
+}
+
+// Guards against work for callers that left.
+TEST_F(gateway_fixture, cancels_the_request_of_a_caller_that_left) {
+    auto& gateway = start(1);
+    behave(manner::hangs);
+    caller_result result;
+    const auto id = send(gateway, "/again/x", "id-1", result);
+    ASSERT_TRUE(loop.run_until([&] { return runs() == 1; }));
+    client->cancel(id);
+    EXPECT_TRUE(loop.run_until([&] { return targets.front()->left.size() == 1; }));
+    EXPECT_TRUE(gateway.board().requests.empty());
+}
+
+// Guards against requests to a server that said it is leaving, and against one that stays unknown.
+TEST_F(gateway_fixture, follows_servers_that_leave_and_join) {
+    auto& gateway = start(1);
+    EXPECT_EQ(200U, call(gateway, "/again/x", "id-1").status);
+    auto& second = add_target("i-9");
+    store.put("servers", "i-0", targets.front()->entry("desk", "draining"));
+    auto& pool = gateway.board().services.at(service_id("desk")).pool;
+    ASSERT_TRUE(loop.run_until([&] { return pool.servers.size() == 2 && is_draining(pool.servers.front()); }));
+    EXPECT_EQ(200U, call(gateway, "/again/x", "id-2").status);
+    EXPECT_EQ(1U, second.ran.size());
+    store.remove("servers", "i-0");
+    EXPECT_TRUE(loop.run_until([&] { return pool.servers.size() == 1; }));
+}
+
+// Guards against an entry of another writer that takes servers out of use.
+TEST_F(gateway_fixture, unreadable_entries_disturb_no_other) {
+    auto& gateway = start(1);
+    store.put("servers", "i-bad", {{"service", 7}});
+    store.put("servers", "i-odd", "text");
+    add_target("i-good");
+    auto& pool = gateway.board().services.at(service_id("desk")).pool;
+    ASSERT_TRUE(loop.run_until([&] { return pool.servers.size() == 2; }));
+    EXPECT_EQ(200U, call(gateway, "/again/x", "id-1").status);
+}
+
+// Guards against an older configuration that replaces a newer one, and against a VM that misses one because
+// only the heads of its failure domain watch the store.
+TEST_F(gateway_fixture, configuration_reaches_all_vms_and_only_rises) {
+    start(1);
+    for (int i = 2; i <= 4; ++i) {
+        add_gateway("vm-" + std::to_string(i));
+    }
+    const auto all_at = [&](std::uint64_t version) {
+        return loop.run_until([&] {
+            return std::all_of(gateways.begin(), gateways.end(), [version](const auto& it) {
+                return is_ready(it->board()) && it->board().routes->config.version.value == version;
+            });
+        });
+    };
+    ASSERT_TRUE(all_at(1));
+    put_config("0000000f", true);
+    ASSERT_TRUE(all_at(15));
+    for (auto& it : gateways) {
+        EXPECT_EQ(200U, call(*it, "/extra/x", it->board().conf.vm.text).status);
+    }
+    put_config("00000002");
+    store.put("servers", "i-late", targets.front()->entry("desk"));
+    ASSERT_TRUE(loop.run_until([&] {
+        return std::all_of(gateways.begin(), gateways.end(),
+                           [](const auto& it) { return it->board().registry.entries.size() == 2; });
+    }));
+    EXPECT_TRUE(all_at(15));
+}
+
+// Guards against calls to the store that grow with the number of VMs.
+TEST_F(gateway_fixture, only_heads_watch_the_store) {
+    start(1);
+    for (int i = 2; i <= 6; ++i) {
+        add_gateway("vm-" + std::to_string(i));
+    }
+    const auto watching = [&] {
+        return std::count_if(gateways.begin(), gateways.end(),
+                             [](const auto& it) { return it->board().duties.watches; });
+    };
+    EXPECT_TRUE(loop.run_until([&] {
+        return watching() == static_cast<std::ptrdiff_t>(heads_per_domain) &&
+               std::all_of(gateways.begin(), gateways.end(),
+                           [](const auto& it) { return it->board().peers.fleet_size == 6; });
+    }));
+}
+
+// Guards against servers that are dropped because their entries lapsed while the store was away.
+TEST_F(gateway_fixture, keeps_servers_whose_entries_lapsed_in_an_outage) {
+    auto& gateway = start(1);
+    store.behaviour = fake_object_store::manner::closes;
+    store.cut_watches();
+    ASSERT_TRUE(loop.run_until([&] { return gateway.board().registry.store_is_away; }));
+    store.remove("servers", "i-0");
+    store.behaviour = fake_object_store::manner::serves;
+    ASSERT_TRUE(loop.run_until([&] { return !gateway.board().registry.store_is_away; }));
+    EXPECT_EQ(200U, call(gateway, "/again/x", "id-1").status);
+    EXPECT_TRUE(loop.run_until([&] { return gateway.board().registry.entries.empty(); }));
+}
+
+// Guards against a registration that is given up because an answer of the store was lost.
+TEST_F(gateway_fixture, registers_although_an_answer_is_lost) {
+    store.lost_writes = 1;
+    start(1);
+    EXPECT_TRUE(loop.run_until([&] { return store.has("gateway-vms", "vm-1"); }));
+    EXPECT_TRUE(loop.run_until([&] { return gateways.front()->board().registered; }));
+}
+
+// Guards against a planned stop that interrupts a request or keeps being named to callers.
+TEST_F(gateway_fixture, planned_stop_finishes_requests_first) {
+    auto& gateway = start(1);
+    behave(manner::hangs);
+    caller_result result;
+    send(gateway, "/again/x", "id-1", result);
+    ASSERT_TRUE(loop.run_until([&] { return runs() == 1; }));
+    gateway.stop();
+    EXPECT_FALSE(is_ready(gateway.board()));
+    ASSERT_TRUE(loop.run_until([&] { return result.done; }));
+    EXPECT_EQ(504U, result.status);
+    EXPECT_EQ("close", *find_header(result.headers, "Connection"));
+}
+
+} // namespace
+} // namespace endivelever::http_test
--- /dev/null
+++ b/tests/contract/object_reflector_test.cpp
@@ -0,0 +1,112 @@
+#include "contract/http_fixture.hpp"
+#include "endivelever/store/object_reflector.hpp"
+#include "fakes/fake_object_store.hpp"
+#include "platform/object_store.hpp"
+
+#include <set>
+
+namespace endivelever::http_test {
+namespace {
+
+/// A reflector of the kind "things" and the names that it has shown.
+struct reflector_fixture : testing::Test {
+    test_loop loop;
+    fake_object_store store{loop.get(), 2};
+    http_client client{loop.get(), 0};
+    random_source random{7, 1};
+    object_store_access access;
+    std::set<std::string> names;
+    std::size_t failures = 0;
+    std::size_t lists = 0;
+    std::unique_ptr<object_reflector> reflector;
+
+    void start() {
+        access.loop = loop.get();
+        access.client = &client;
+        access.random = &random;
+        access.protocol = platform::make_object_protocol(store.address());
+        object_reflector::handlers handlers;
+        handlers.on_list = [this](const std::vector<stored_object>& objects, store_revision) {
+            ++lists;
+            names.clear();
+            for (const auto& it : objects) {
+                names.insert(it.name);
+            }
+        };
+        handlers.on_changes = [this](const std::vector<object_change>& changes, store_revision) {
+            for (const auto& it : changes) {
+                it.removed ? static_cast<void>(names.erase(it.object.name))
+                           : static_cast<void>(names.insert(it.object.name));
+            }
+        };
+        handlers.on_failure = [this](const std::string&) { ++failures; };
+        handlers.on_answer = [] {};
+        reflector = std::make_unique<object_reflector>(access, object_kind("things"), std::move(handlers));
+    }
+
+    bool shows(const std::set<std::string>& wanted) {
+        return loop.run_until([&] { return names == wanted; });
+    }
+};
+
+// Guards against a list that ends with its first page.
+TEST_F(reflector_fixture, lists_all_pages_and_follows_changes) {
+    for (const auto* name : {"a", "b", "c", "d", "e"}) {
+        store.put("things", name, 1);
+    }
+    start();
+    ASSERT_TRUE(shows({"a", "b", "c", "d", "e"}));
+    store.remove("things", "b");
+    store.put("things", "f", 1);
+    EXPECT_TRUE(shows({"a", "c", "d", "e", "f"}));
+    EXPECT_EQ(1U, lists);
+}
+
+// Guards against a watch that goes on from a history that is gone and misses a removal.
+TEST_F(reflector_fixture, lists_again_when_the_history_is_gone) {
+    store.put("things", "a", 1);
+    store.put("things", "b", 1);
+    start();
+    ASSERT_TRUE(shows({"a", "b"}));
+    ASSERT_TRUE(loop.run_until([&] { return store.watches > 0; }));
+    store.behaviour = fake_object_store::manner::silent;
+    store.remove("things", "a");
+    store.put("other", "x", 1);
+    store.forget_history();
+    store.behaviour = fake_object_store::manner::serves;
+    store.cut_watches();
+    EXPECT_TRUE(shows({"b"}));
+    EXPECT_GE(lists, 2U);
+}
+
+struct outage_case {
+    const char* name;
+    fake_object_store::manner behaviour;
+};
+
+struct reflector_outage : reflector_fixture, testing::WithParamInterface<outage_case> {};
+
+// Guards against a reflector that stops after a failed call, or keeps what changed during the outage.
+TEST_P(reflector_outage, catches_up_after_it) {
+    store.put("things", "a", 1);
+    start();
+    ASSERT_TRUE(shows({"a"}));
+    store.behaviour = GetParam().behaviour;
+    store.cut_watches();
+    store.remove("things", "a");
+    store.put("things", "b", 1);
+    ASSERT_TRUE(loop.run_until([&] { return failures >= 2; }));
+    EXPECT_EQ(std::set<std::string>{"a"}, names);
+    store.behaviour = fake_object_store::manner::serves;
+    EXPECT_TRUE(shows({"b"}));
+}
+
+INSTANTIATE_TEST_SUITE_P(outages, reflector_outage,
+                         testing::Values(outage_case{"refuses", fake_object_store::manner::refuses},
+                                         outage_case{"limits", fake_object_store::manner::limits},
+                                         outage_case{"closes", fake_object_store::manner::closes},
+                                         outage_case{"silent", fake_object_store::manner::silent}),
+                         [](const auto& it) { return it.param.name; });
+
+} // namespace
+} // namespace endivelever::http_test
--- /dev/null
+++ b/tests/fakes/fake_object_store.cpp
@@ -0,0 +1,176 @@
+#include "fakes/fake_object_store.hpp"
+
+#include <algorithm>
+
+namespace endivelever::http_test {
+namespace {
+
+using nlohmann::json;
+
+std::string query_value(const std::string& target, const std::string& name) {
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + name.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+}
+
+} // namespace
+
+fake_object_store::fake_object_store(struct ev_loop* loop, std::size_t page_size) : m_page_size(page_size) {
+    http_server::handlers handlers;
+    handlers.on_head = [](http_exchange& /*exchange*/) {};
+    handlers.on_body = [this](http_exchange& exchange, std::string_view data) {
+        m_bodies[&exchange].append(data);
+    };
+    handlers.on_body_end = [this](http_exchange& exchange) { answer(exchange, m_bodies[&exchange]); };
+    handlers.on_closed = [this](http_exchange& exchange, bool) {
+        m_bodies.erase(&exchange);
+        std::erase_if(m_waiting, [&exchange](const waiting_watch& it) { return it.exchange == &exchange; });
+    };
+    m_server = std::move(*http_server::open(loop, socket_address("127.0.0.1:0"), {}, std::move(handlers)));
+}
+
+socket_address fake_object_store::address() const {
+    return socket_address("127.0.0.1:" + std::to_string(m_server->port()));
+}
+
+bool fake_object_store::has(const std::string& kind, const std::string& name) const {
+    const auto found = m_objects.find(kind);
+    return found != m_objects.end() && found->second.contains(name);
+}
+
+void fake_object_store::put(const std::string& kind, const std::string& name, const json& spec) {
+    ++m_revision;
+    json object{{"metadata", {{"name", name}, {"revision", m_revision}}}, {"spec", spec}, {"status", nullptr}};
+    m_objects[kind][name] = object;
+    note_change(kind, object, false);
+}
+
+void fake_object_store::remove(const std::string& kind, const std::string& name) {
+    ++m_revision;
+    const auto object = m_objects[kind][name];
+    m_objects[kind].erase(name);
+    note_change(kind, object, true);
+}
+
+void fake_object_store::forget_history() {
+    m_history.clear();
+    m_history_begin = m_revision;
+}
+
+void fake_object_store::cut_watches() {
+    const auto cut = std::exchange(m_waiting, {});
+    for (const auto& it : cut) {
+        it.exchange->abort();
+    }
+}
+
+void fake_object_store::note_change(const std::string& kind, const json& object, bool deleted) {
+    m_history.push_back({m_revision, kind, {{"object", object}, {"deleted", deleted}}});
+    if (behaviour != manner::serves) {
+        return;
+    }
+    const auto waiting = std::exchange(m_waiting, {});
+    for (const auto& it : waiting) {
+        if (!answer_changes(it)) {
+            m_waiting.push_back(it);
+        }
+    }
+}
+
+void fake_object_store::answer(http_exchange& exchange, const std::string& body) {
+    switch (behaviour) {
+    case manner::refuses:
+        exchange.respond(503, {}, "busy");
+        return;
+    case manner::limits:
+        exchange.respond(429, {}, "too many");
+        return;
+    case manner::closes:
+        exchange.abort();
+        return;
+    case manner::silent:
+        return;
+    case manner::serves:
+        break;
+    }
+    const auto path = exchange.path();
+    const std::string prefix = "/api/objects/";
+    const auto kind = path.substr(prefix.size(), path.find('/', prefix.size()) - prefix.size());
+    const auto& target = exchange.target();
+    if (exchange.method() != "GET") {
+        answer_write(exchange, kind, body);
+    } else if (const auto since = query_value(target, "watch"); !since.empty()) {
+        answer_watch(exchange, kind, std::stoull(since));
+    } else {
+        answer_list(exchange, kind, query_value(target, "after"));
+    }
+}
+
+void fake_object_store::answer_list(http_exchange& exchange, const std::string& kind,
+                                    const std::string& after) {
+    ++lists;
+    json items = json::array();
+    bool truncated = false;
+    for (const auto& it : m_objects[kind]) {
+        if (it.first <= after) {
+            continue;
+        }
+        if (items.size() == m_page_size) {
+            truncated = true;
+            break;
+        }
+        items.push_back(it.second);
+    }
+    exchange.respond(
+        200, {},
+        json{{"items", items}, {"truncated", truncated}, {"store_revision", m_revision}}.dump());
+}
+
+void fake_object_store::answer_watch(http_exchange& exchange, const std::string& kind, std::uint64_t since) {
+    ++watches;
+    if (since < m_history_begin) {
+        exchange.respond(410, {}, "gone");
+        return;
+    }
+    const waiting_watch it{&exchange, kind, since};
+    if (!answer_changes(it)) {
+        m_waiting.push_back(it);
+    }
+}
+
+bool fake_object_store::answer_changes(const waiting_watch& it) {
+    json events = json::array();
+    for (const auto& entry : m_history) {
+        if (entry.kind == it.kind && entry.revision > it.since) {
+            events.push_back(entry.event);
+        }
+    }
+    if (events.empty()) {
+        return false;
+    }
+    it.exchange->respond(200, {}, json{{"events", events}, {"store_revision", m_revision}}.dump());
+    return true;
+}
+
+void fake_object_store::answer_write(http_exchange& exchange, const std::string& kind,
+                                     const std::string& body) {
+    ++writes;
+    const auto object = json::parse(body);
+    const auto name = object.at("metadata").at("name").get<std::string>();
+    if (exchange.method() == "POST" && has(kind, name)) {
+        exchange.respond(409, {}, m_objects[kind][name].dump());
+        return;
+    }
+    put(kind, name, object.at("spec"));
+    if (lost_writes > 0) {
+        --lost_writes;
+        exchange.abort();
+        return;
+    }
+    exchange.respond(200, {}, m_objects[kind][name].dump());
+}
+
+} // namespace endivelever::http_test
--- /dev/null
+++ b/tests/fakes/fake_target.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "endivelever/net/event_loop.hpp"
+#include "endivelever/net/http_server.hpp"
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace endivelever::http_test {
+
+/// In-process stand-in of a server on the platform: runs requests, tells its load, and misbehaves as told.
+class fake_target {
+  public:
+    enum class manner {
+        serves,
+        errors,      ///< runs the request and answers 500
+        sheds,       ///< answers 503 and states that it did not run the request
+        denies,      ///< runs the request and answers 503 without that statement
+        breaks,      ///< runs the request and closes the connection
+        hangs,       ///< runs the request and never answers
+        wrong_id,    ///< answers with the id of another request
+        without_id,  ///< answers 200 without id and signature, as a late health answer would look
+        truncates    ///< breaks off in the middle of the body
+    };
+
+    fake_target(struct ev_loop* loop, std::string id);
+    ~fake_target() { m_server.reset(); }
+    fake_target(const fake_target&) = delete;
+    fake_target& operator=(const fake_target&) = delete;
+    fake_target(fake_target&&) = delete;
+    fake_target& operator=(fake_target&&) = delete;
+
+    [[nodiscard]] socket_address address() const;
+    /// Entry of this server in the store.
+    [[nodiscard]] nlohmann::json entry(const std::string& service, const std::string& state = "ready") const;
+
+    manner behaviour = manner::serves;
+    std::string load = "0,0,4,100";
+    std::string body = "answer";
+    std::vector<std::string> ran;              ///< ids of the requests that began to run
+    std::vector<std::string> left;             ///< ids whose connection closed before the response
+    std::map<std::string, http_headers> heads; ///< by request id
+    std::map<std::string, std::string> bodies; ///< received, by request id
+
+  private:
+    void answer(http_exchange& exchange);
+
+    std::string m_id;
+    std::map<http_exchange*, std::string> m_received;
+    std::map<http_exchange*, std::string> m_open;
+    std::unique_ptr<http_server> m_server;
+};
+
+} // namespace endivelever::http_test
--- /dev/null
+++ b/tests/unit/placement_test.cpp
@@ -0,0 +1,246 @@
+#include "endivelever/decide/observe.hpp"
+#include "endivelever/decide/probe_choice.hpp"
+#include "endivelever/decide/retry.hpp"
+#include "endivelever/decide/wait_queue.hpp"
+
+#include <gtest/gtest.h>
+
+namespace endivelever {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr time_point start{100s};
+constexpr duration usual = 80ms;
+
+waiting_request waiting(request_number number, duration age = 0ms, std::uint32_t rank = 0) {
+    waiting_request it;
+    it.request = number;
+    it.rank = rank;
+    it.arrived = start - age;
+    it.queued = start - age;
+    it.target = 250ms;
+    it.final_at = start - age + 1000ms;
+    it.settles = true;
+    return it;
+}
+
+server_offer offer(duration predicted, bool at_ease, bool has_room = true) {
+    server_offer it;
+    it.server = server_id("s");
+    it.predicted = predicted;
+    it.at_ease = at_ease;
+    it.has_room = has_room;
+    return it;
+}
+
+request_number chosen(const wait_queue& queue, const server_offer& it) {
+    const auto position = next_for(queue, it, usual, start);
+    return position ? queue[*position].request : 0;
+}
+
+// Guards against a late request that takes a fast server from one that can still meet its target.
+TEST(wait_queue, requests_in_time_come_before_late_ones) {
+    const wait_queue queue{waiting(1, 300ms), waiting(2, 20ms), waiting(3, 40ms)};
+    EXPECT_EQ(3U, chosen(queue, offer(usual, true)));
+}
+
+// Guards against urgent requests behind others of the same service.
+TEST(wait_queue, rank_comes_before_age) {
+    EXPECT_EQ(2U, chosen({waiting(1, 60ms, 1), waiting(2, 0ms, 0)}, offer(usual, true)));
+}
+
+// Guards against a caller that is refused again and again.
+TEST(wait_queue, requests_that_came_back_count_from_their_first_attempt) {
+    auto returned = waiting(2, 0ms);
+    returned.spent_before = 100ms;
+    EXPECT_EQ(2U, chosen({waiting(1, 50ms), returned}, offer(usual, true)));
+    auto late = waiting(3, 300ms);
+    late.spent_before = 100ms;
+    EXPECT_EQ(std::vector<request_number>{4}, overdue({late, waiting(4, 300ms), waiting(5)}, usual, start));
+}
+
+// Guards against a refusal although nobody else needs the place.
+TEST(wait_queue, late_requests_stay_while_the_queue_is_their_own) {
+    EXPECT_TRUE(overdue({waiting(1, 300ms), waiting(2, 400ms)}, usual, start).empty());
+}
+
+struct offer_case {
+    const char* name;
+    duration age;
+    server_offer server;
+    bool settles;
+    bool taken;
+};
+
+struct wait_queue_offer : testing::TestWithParam<offer_case> {};
+
+// Guards against slow servers for requests that a better one can still serve in time, and against requests that
+// wait for a fast server until their deadline passes.
+TEST_P(wait_queue_offer, suits_the_request) {
+    auto it = waiting(1, GetParam().age);
+    it.settles = GetParam().settles;
+    EXPECT_EQ(GetParam().taken, chosen({it}, GetParam().server) == 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    servers, wait_queue_offer,
+    testing::Values(offer_case{"at_ease", 0ms, offer(usual, true), false, true},
+                    offer_case{"busy_while_others_are_asked", 0ms, offer(140ms, false), false, false},
+                    offer_case{"busy_after_all_were_asked", 0ms, offer(140ms, false), true, true},
+                    offer_case{"full", 0ms, offer(140ms, false, false), true, false},
+                    offer_case{"slow_while_a_fast_one_would_do", 0ms, offer(320ms, false), true, false},
+                    offer_case{"slow_when_it_is_late_anyway", 200ms, offer(320ms, false), true, true},
+                    offer_case{"slower_than_the_deadline", 900ms, offer(320ms, false), true, false}),
+    [](const auto& it) { return it.param.name; });
+
+server_pool pool_of(std::size_t count) {
+    server_pool pool;
+    pool.own_domain = failure_domain("a");
+    std::vector<listed_server> servers;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto name = "s" + std::to_string(i);
+        listed_server it;
+        it.id = server_id(name);
+        it.failure_domain = failure_domain(i % 2 == 0 ? "a" : "b");
+        it.address = socket_address(name);
+        it.slots = 4;
+        servers.push_back(it);
+    }
+    update_servers(pool, servers, {}, 1, start - 1h);
+    for (auto& it : pool.servers) {
+        it.state = server_state::serving;
+        it.connection_share = 100;
+    }
+    return pool;
+}
+
+load_report report(std::uint32_t running, double slowdown) {
+    load_report it;
+    it.running = running;
+    it.slowdown = slowdown;
+    return it;
+}
+
+// Guards against questions to servers that cannot be used, that were just silent, or that are known to be slow.
+TEST(probe_choice, asks_the_most_promising_servers) {
+    auto pool = pool_of(6);
+    pool.servers[0].drain_sources = 1;
+    note_silent(pool.servers[1], start);
+    note_report(pool.servers[2], report(0, 4.0), start - 5ms);
+    note_report(pool.servers[3], report(4, 1.0), start - 5ms);
+    random_source random(7, 1);
+    const auto picked = pick_candidates(pool, {server_id("s5")}, 4, false, start, random);
+    ASSERT_EQ(4U, picked.size());
+    EXPECT_EQ(4U, picked.front());
+    EXPECT_EQ(1U, picked.back());
+}
+
+// Guards against large responses that cross failure domains while a near server would do.
+TEST(probe_choice, large_responses_stay_near) {
+    const auto pool = pool_of(6);
+    random_source random(7, 1);
+    for (const auto index : pick_candidates(pool, {}, 3, true, start, random)) {
+        EXPECT_EQ(failure_domain("a"), pool.servers[index].listed.failure_domain);
+    }
+}
+
+// Guards against a rate of questions above the platform's limit over all VMs.
+TEST(probe_choice, questions_stay_within_the_limit) {
+    constexpr std::uint32_t vms = 13;
+    constexpr std::size_t servers = 29;
+    constexpr int seconds = 60;
+    std::size_t asked = 0;
+    for (std::uint32_t vm = 0; vm < vms; ++vm) {
+        probe_budget budget;
+        for (int ms = 0; ms < seconds * 1000; ms += 10) {
+            credit_probes(budget, 60.0, servers, vms, start + std::chrono::milliseconds(ms));
+            asked += take_probes(budget, 8);
+        }
+    }
+    EXPECT_LE(asked, 60U * servers * seconds);
+    EXPECT_GE(asked, 40U * servers * seconds);
+}
+
+struct hedge_case {
+    const char* name;
+    duration age;
+    duration target;
+    bool due;
+};
+
+struct hedge_rule : testing::TestWithParam<hedge_case> {};
+
+// Guards against second sends that come too early to be needed or too late to help.
+TEST_P(hedge_rule, is_due_when_a_second_server_still_helps) {
+    EXPECT_EQ(GetParam().due, is_hedge_due(GetParam().age, GetParam().age, usual, GetParam().target));
+}
+
+INSTANTIATE_TEST_SUITE_P(ages, hedge_rule,
+                         testing::Values(hedge_case{"most_are_answered", 60ms, 200ms, false},
+                                         hedge_case{"last_moment", 104ms, 200ms, true},
+                                         hedge_case{"too_late", 150ms, 200ms, false},
+                                         hedge_case{"stuck", 400ms, 200ms, true},
+                                         hedge_case{"can_wait", 150ms, 1000ms, false}),
+                         [](const auto& it) { return it.param.name; });
+
+/// Servers whose speed is drawn anew every 300 ms, as on the owners' platform: a quarter takes four times as long.
+struct speed_model {
+    random_source random{11, 1};
+    std::vector<double> slowdown;
+
+    explicit speed_model(std::size_t servers) : slowdown(servers, 1.0) {}
+
+    void draw() {
+        for (auto& it : slowdown) {
+            it = random_unit(random) < 0.25 ? 4.0 : 1.0;
+        }
+    }
+};
+
+/// Share of requests that meet a slow server when the report of each server is `age` old.
+double slow_share(bool asks) {
+    auto pool = pool_of(20);
+    speed_model model(20);
+    random_source random(7, 1);
+    int slow = 0;
+    constexpr int requests = 3000;
+    for (int i = 0; i < requests; ++i) {
+        const auto now = start + i * 40ms;
+        if (i % 7 == 0) {
+            model.draw();
+        }
+        auto index = pick_candidates(pool, {}, 1, false, now, random).front();
+        if (asks) {
+            std::vector<server_id> asked;
+            for (std::size_t round = 0; round < enough_questions / first_questions; ++round) {
+                bool found = false;
+                for (const auto candidate : pick_candidates(pool, asked, first_questions, false, now, random)) {
+                    auto& view = pool.servers[candidate];
+                    asked.push_back(view.listed.id);
+                    note_report(view, report(0, model.slowdown[candidate]), now);
+                    if (!found && is_at_ease(view.last_report, view.slots)) {
+                        index = candidate;
+                        found = true;
+                    }
+                }
+                if (found) {
+                    break;
+                }
+            }
+        }
+        slow += model.slowdown[index] > 1.0 ? 1 : 0;
+        note_report(pool.servers[index], report(0, model.slowdown[index]), now);
+    }
+    return static_cast<double>(slow) / requests;
+}
+
+// Guards against a choice by reports of earlier responses: at 26 requests a second and VM they are older than
+// the speed that they tell.
+TEST(probe_choice, asking_first_avoids_slow_servers) {
+    EXPECT_GT(slow_share(false), 0.1);
+    EXPECT_LT(slow_share(true), 0.01);
+}
+
+} // namespace
+} // namespace endivelever
--- /dev/null
+++ b/tests/unit/platform_test.cpp
@@ -0,0 +1,168 @@
+#include "platform/dialect.hpp"
+#include "platform/documents.hpp"
+#include "platform/object_store.hpp"
+#include "platform/settings.hpp"
+
+#include <gtest/gtest.h>
+
+namespace endivelever::platform {
+namespace {
+
+using nlohmann::json;
+
+json server_entry() {
+    return {{"service", "desk"}, {"address", "10.0.0.1:80"}, {"zone", "a"},
+            {"version", "v1"},   {"concurrency_limit", 4},   {"state", "ready"},
+            {"warmup_remaining_ms", 1500}, {"sequence", 3},  {"born", 1700000000000}};
+}
+
+TEST(platform_documents, reads_a_server_entry) {
+    const auto it = read_server("i-1", server_entry());
+    ASSERT_TRUE(it);
+    EXPECT_EQ(server_id("i-1"), it->id);
+    EXPECT_EQ(4U, it->slots);
+    EXPECT_EQ(std::chrono::milliseconds(1500), it->warm_up_left);
+    EXPECT_FALSE(it->draining);
+}
+
+struct entry_case {
+    const char* name;
+    const char* field;
+    json value; ///< null removes the field
+};
+
+struct bad_server_entry : testing::TestWithParam<entry_case> {};
+
+// Guards against an entry of another writer that is taken for a server.
+TEST_P(bad_server_entry, names_no_server) {
+    auto entry = server_entry();
+    if (GetParam().value.is_null()) {
+        entry.erase(GetParam().field);
+    } else {
+        entry[GetParam().field] = GetParam().value;
+    }
+    const auto it = read_server("i-1", entry);
+    ASSERT_FALSE(it);
+    EXPECT_NE(std::string::npos, it.error().message.find(GetParam().field));
+}
+
+INSTANTIATE_TEST_SUITE_P(fields, bad_server_entry,
+                         testing::Values(entry_case{"no_service", "service", nullptr},
+                                         entry_case{"number_for_service", "service", 7},
+                                         entry_case{"bad_address", "address", "nowhere"},
+                                         entry_case{"unknown_state", "state", "resting"},
+                                         entry_case{"no_slots", "concurrency_limit", 0},
+                                         entry_case{"text_for_slots", "concurrency_limit", "4"},
+                                         entry_case{"fraction_for_start", "born", 1.5},
+                                         entry_case{"text_for_sequence", "sequence", "1"}),
+                         [](const auto& it) { return it.param.name; });
+
+TEST(platform_documents, reads_routes_services_and_limits) {
+    const auto config = read_routing(json::parse(R"({"version":"0000001f","resources":[
+        {"resource_kind":"routes","metadata":{"name":"r"},"spec":{"host":"h","path_prefix":"/p/",
+         "type":"download","timeout_ms":800,"aim_ms":250,"priority":1,"max_attempts":2,
+         "traffic_split":[{"service":"a","weight":90},{"service":"b","weight":10}]}},
+        {"resource_kind":"services","metadata":{"name":"a"},"spec":{"health_check_path":"/h","max_connections":9}},
+        {"resource_kind":"limits","metadata":{},"spec":{"max_body_bytes":1000}},
+        {"resource_kind":"something new","metadata":{},"spec":{}}]})"));
+    ASSERT_TRUE(config);
+    EXPECT_EQ(31U, config->version.value);
+    ASSERT_EQ(1U, config->routes.size());
+    EXPECT_TRUE(config->routes.front().idempotent);
+    EXPECT_TRUE(config->routes.front().large_response);
+    EXPECT_EQ(2U, config->routes.front().split.size());
+    EXPECT_EQ(1000U, config->limits.max_body.value);
+    EXPECT_EQ(1U, config->services.size());
+}
+
+// Guards against a type that a later platform adds and that must not be repeated.
+TEST(platform_documents, unknown_types_run_once) {
+    const auto config = read_routing(json::parse(
+        R"({"version":"1","resources":[{"resource_kind":"routes","metadata":{"name":"r"},
+            "spec":{"host":"h","path_prefix":"/p/","type":"new","service":"a"}}]})"));
+    ASSERT_TRUE(config);
+    EXPECT_FALSE(config->routes.front().idempotent);
+    EXPECT_FALSE(read_routing(json::parse(R"({"version":"xyz"})")));
+    EXPECT_FALSE(read_routing(json("text")));
+}
+
+struct load_case {
+    const char* text;
+    bool valid;
+    std::uint32_t running;
+    double slowdown;
+};
+
+struct load_header : testing::TestWithParam<load_case> {};
+
+TEST_P(load_header, is_read) {
+    const auto facts = read_response(200, {{"X-Instance-Load", GetParam().text}}, std::chrono::milliseconds(10));
+    ASSERT_EQ(GetParam().valid, facts.report.has_value());
+    if (facts.report) {
+        EXPECT_EQ(GetParam().running, facts.report->running);
+        EXPECT_DOUBLE_EQ(GetParam().slowdown, facts.report->slowdown);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(texts, load_header,
+                         testing::Values(load_case{"3,0,8", true, 3, 0.0}, load_case{"3,1,8,400", true, 3, 4.0},
+                                         load_case{"", false, 0, 0.0}, load_case{"x,0,8", false, 0, 0.0},
+                                         load_case{"3", false, 0, 0.0}));
+
+// Guards against statuses taken as a statement that the request did not run.
+TEST(platform_dialect, only_a_statement_says_that_a_request_did_not_run) {
+    EXPECT_TRUE(read_response(503, {{"X-Not-Executed", "1"}}, {}).not_run);
+    EXPECT_TRUE(read_response(421, {}, {}).not_run);
+    EXPECT_FALSE(read_response(503, {}, {}).not_run);
+    EXPECT_FALSE(read_response(504, {}, {}).not_run);
+}
+
+json settings_document() {
+    return json::parse(R"({"node_name":"n","ip_address":"10.1.0.1","zone":"a",
+        "listen_addrs":{"frontend":"10.1.0.1:1","ready":"10.1.0.1:2","control_plane":"10.1.0.1:3",
+        "registry":"10.1.0.1:4"},"internal_port_range":[7540,7555],"platform":{"address":"10.2.0.1:5"},
+        "bounds":{"grace_period_s":6,"ttl_max_s":5,"retry_budget_ratio":0.2,"retry_allowance":60,
+        "probes_per_s":60},"limits":{"max_fds":4100},"unknown":1})");
+}
+
+TEST(platform_settings, reads_the_fields_it_needs) {
+    const auto conf = parse_platform_settings(settings_document().dump(), "file");
+    ASSERT_TRUE(conf);
+    EXPECT_EQ("10.1.0.1:7540", conf->peer_address.text);
+    EXPECT_EQ(60U, conf->retry_allowance);
+    EXPECT_EQ(std::chrono::seconds(6), conf->stop_limit);
+    EXPECT_FALSE(conf->first_start);
+}
+
+struct settings_case {
+    const char* name;
+    const char* pointer;
+    json value;
+};
+
+struct bad_platform_settings : testing::TestWithParam<settings_case> {};
+
+// Guards against a process that starts with settings that it cannot use.
+TEST_P(bad_platform_settings, are_named) {
+    auto document = settings_document();
+    document[json::json_pointer(GetParam().pointer)] = GetParam().value;
+    const auto conf = parse_platform_settings(document.dump(), "file");
+    ASSERT_FALSE(conf);
+    EXPECT_NE(std::string::npos, conf.error().message.find(GetParam().pointer)) << conf.error().message;
+    EXPECT_NE(std::string::npos, conf.error().message.find("allowed is"));
+}
+
+INSTANTIATE_TEST_SUITE_P(fields, bad_platform_settings,
+                         testing::Values(settings_case{"empty_name", "/node_name", ""},
+                                         settings_case{"bad_address", "/listen_addrs/frontend", "here"},
+                                         settings_case{"number_for_store", "/platform/address", 5},
+                                         settings_case{"negative_ratio", "/bounds/retry_budget_ratio", -1}),
+                         [](const auto& it) { return it.param.name; });
+
+TEST(platform_settings, text_that_is_no_object_is_refused) {
+    EXPECT_FALSE(parse_platform_settings("[1]", "file"));
+    EXPECT_FALSE(load_platform_settings("/nonexistent/file"));
+}
+
+} // namespace
+} // namespace endivelever::platform
--- /dev/null
+++ b/tests/unit/routing_test.cpp
@@ -0,0 +1,61 @@
+#include "endivelever/decide/route_table.hpp"
+
+#include <gtest/gtest.h>
+
+namespace endivelever {
+namespace {
+
+route route_to(const std::string& id, const std::string& host, const std::string& prefix) {
+    route it;
+    it.id = route_id(id);
+    it.host = host;
+    it.path_prefix = prefix;
+    it.split = {{service_id("desk"), 1}};
+    return it;
+}
+
+std::shared_ptr<const route_table> table() {
+    routing_config config;
+    config.routes = {route_to("root", "a.example", "/"), route_to("short", "a.example", "/x/"),
+                     route_to("long", "a.example", "/x/y/"), route_to("other", "b.example", "/x/")};
+    return make_route_table(std::move(config));
+}
+
+struct lookup_case {
+    const char* host;
+    const char* path;
+    const char* route; ///< empty: none matches
+};
+
+struct route_lookup : testing::TestWithParam<lookup_case> {};
+
+// Guards against a shorter prefix that wins, and against a prefix that ends within a path segment.
+TEST_P(route_lookup, finds_the_longest_prefix) {
+    const auto routes = table();
+    const auto* found = find_route(*routes, GetParam().host, GetParam().path);
+    EXPECT_EQ(GetParam().route, found == nullptr ? std::string() : found->id.text);
+}
+
+INSTANTIATE_TEST_SUITE_P(paths, route_lookup,
+                         testing::Values(lookup_case{"a.example", "/x/y/z", "long"},
+                                         lookup_case{"a.example", "/x/yy", "short"},
+                                         lookup_case{"a.example", "/xx", "root"},
+                                         lookup_case{"A.Example:8080", "/x/1", "short"},
+                                         lookup_case{"b.example", "/y", ""},
+                                         lookup_case{"c.example", "/x/", ""}));
+
+// Guards against shares that differ from the weights.
+TEST(traffic_split, follows_the_weights) {
+    auto it = route_to("r", "a", "/");
+    it.split = {{service_id("a"), 90}, {service_id("b"), 10}, {service_id("c"), 0}};
+    random_source random(7, 1);
+    std::map<service_id, int> counts;
+    for (int i = 0; i < 10'000; ++i) {
+        ++counts[pick_service(it, random)];
+    }
+    EXPECT_NEAR(9000, counts[service_id("a")], 200);
+    EXPECT_EQ(0, counts[service_id("c")]);
+}
+
+} // namespace
+} // namespace endivelever
