--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -93,6 +93,7 @@
     std::unique_ptr<http_server> callers;
     std::unique_ptr<http_server> ready;
     std::unique_ptr<http_server> lookup;
+    std::unique_ptr<http_server> relay;
     std::unique_ptr<http_server> metrics;
 };
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -69,12 +69,20 @@
     if (failure.id == 0) {
         failure = listen(board.lookup, conf.lookup_address, control_options(), lookup_handlers(board));
     }
-    if (failure.id == 0 && !conf.metrics_address.empty()) {
-        failure = listen(board.metrics, conf.metrics_address, control_options(), metrics_handlers(board));
+    if (failure.id == 0) {
+        failure = listen(board.relay, conf.relay_address, control_options(), metrics_handlers(board));
     }
     if (failure.id != 0) {
         return failure;
     }
+    if (!conf.metrics_address.empty()) {
+        // Requests are served without metrics too.
+        const auto ec =
+            listen(board.metrics, conf.metrics_address, control_options(), metrics_handlers(board));
+        if (ec.id != 0) {
+            write_event(board.log, "metrics_unavailable", {{"cause", ec.message}});
+        }
+    }
     auto socket =
         datagram_socket::open(board.loop, conf.peer_address, [this](std::span<const std::uint8_t> payload) {
             receive_status(board, payload);
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -69,7 +69,7 @@
     status.failure_domain = board.conf.failure_domain;
     status.caller_address = board.conf.caller_address.text;
     status.peer_address = board.conf.peer_address.text;
-    status.relay_address = board.conf.metrics_address.text;
+    status.relay_address = board.conf.relay_address.text;
     status.routing_version = is_ready(board) ? board.routes->config.version.value : 0;
     status.servers_revision = board.servers_revision.value;
     status.is_head = board.duties.is_head;
--- a/tests/unit/server_registry_test.cpp
+++ b/tests/unit/server_registry_test.cpp
@@ -41,8 +41,8 @@
 
 struct registry_lapse : testing::TestWithParam<lapse_case> {};
 
-// Guards against losing all servers when their entries lapsed in an outage, and against keeping those that are
-// really gone.
+// Guards against losing all servers when their entries lapsed in an outage, and against keeping those that
+// are really gone.
 TEST_P(registry_lapse, waits_for_entries_to_return) {
     server_registry registry;
     apply_listed(registry, {server("a", GetParam().draining)}, start);
