--- a/include/endivelever/gateway/request.hpp
+++ b/include/endivelever/gateway/request.hpp
@@ -19,6 +19,8 @@
     server_id server;
     std::string server_address;
     time_point started{};
+    load_report known;    ///< load of the server when it was chosen
+    duration known_age{}; ///< age of that report; the largest value if there was none
     bool in_progress = true;
     bool head_arrived = false;
     bool not_run = false; ///< certain: nothing was sent, or the server says so
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -56,10 +56,13 @@
     static constexpr std::array<std::pair<double, const char*>, 3> quantiles{
         {{0.5, "0.5"}, {0.9, "0.9"}, {0.99, "0.99"}}};
     for (const auto& [quantile, text] : quantiles) {
-        counters.gauges[name + "{" + label + "quantile=\"" + text + "\"}"] =
-            to_seconds(value_at(source, quantile));
+        std::string series = name;
+        series.append("{").append(label).append("quantile=\"").append(text).append("\"}");
+        counters.gauges[series] = to_seconds(value_at(source, quantile));
     }
-    counters.gauges[name + "_count{" + label + "}"] = static_cast<double>(source.total);
+    std::string series = name;
+    series.append("_count{").append(label).append("}");
+    counters.gauges[series] = static_cast<double>(source.total);
 }
 
 std::string metrics_text(gateway_board& board) {
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -118,6 +118,11 @@
                  {"status", static_cast<std::int64_t>(attempt.status)},
                  {"not_run", attempt.not_run},
                  {"cause", attempt.failure},
+                 {"running", static_cast<std::int64_t>(attempt.known.running)},
+                 {"queued", static_cast<std::int64_t>(attempt.known.queued)},
+                 {"slowdown", attempt.known.slowdown},
+                 {"load_age_ms", to_milliseconds(attempt.known_age)},
+                 {"waited_ms", to_milliseconds(attempt.started - it.arrived)},
                  {"after_ms", to_milliseconds(boot_clock::now() - attempt.started)}});
     it.last_failure = attempt.failure;
     it.may_have_run = it.may_have_run || !attempt.not_run;
@@ -259,6 +264,8 @@
     attempt.server = view.listed.id;
     attempt.server_address = view.listed.address.text;
     attempt.started = now;
+    attempt.known = present_report(view);
+    attempt.known_age = view.reported_at == time_point{} ? duration::max() : now - view.reported_at;
     note_dispatch(view, now);
     http_request request;
     request.method = it.exchange->method();
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -22,7 +22,7 @@
 // Callers keep an address answer for its time, some of them three times as long.
 constexpr int address_keep_factor = 3;
 // The process ends this long before it would be killed.
-constexpr duration stop_margin = 500ms;
+constexpr duration stop_margin = 1s;
 constexpr std::uint32_t control_connections = 256;
 
 http_server::options caller_options(const gateway_settings& conf) {
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -38,6 +38,7 @@
         }
     }
     std::vector<const gateway_status_message*> found;
+    found.reserve(latest.size());
     for (const auto& it : latest) {
         found.push_back(it.second);
     }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -9,7 +9,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_ok = 200;
 // An answer that comes after the limit of its question still tells about the server.
 constexpr duration probe_timeout = 300ms;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -113,6 +113,7 @@
         return;
     }
     std::vector<stored_object> objects;
+    objects.reserve(changes.size());
     for (const auto& it : changes) {
         objects.push_back(it.object);
     }
--- a/src/gateway/respond.cpp
+++ b/src/gateway/respond.cpp
@@ -12,6 +12,9 @@
 constexpr unsigned status_bad_gateway = 502;
 constexpr unsigned status_unavailable = 503;
 
+// One in so many responses in time is logged.
+constexpr request_number sampled_responses = 64;
+
 /// Statuses by which callers conclude that the request has not run.
 bool promises_not_run(unsigned status) {
     return status == status_request_timeout || status == status_misdirected || status == status_too_many ||
@@ -49,6 +52,31 @@
     count(board, series);
 }
 
+/// Writes a line for each response that misses its latency target, and for some of the others.
+void log_response(gateway_board& board, const gateway_request& it, const request_attempt& attempt) {
+    const auto now = boot_clock::now();
+    const bool late = now - it.arrived > it.rule->latency_target;
+    if (!late && it.number % sampled_responses != 0) {
+        return;
+    }
+    write_event(board.log, late ? "response_late" : "response",
+                {{"request", it.id},
+                 {"status", static_cast<std::int64_t>(attempt.status)},
+                 {"route", it.rule->id.text},
+                 {"service", it.service.text},
+                 {"server", attempt.server.text},
+                 {"attempts", static_cast<std::int64_t>(it.attempts.size())},
+                 {"waited_ms", to_milliseconds(it.attempts.front()->started - it.arrived)},
+                 {"server_ms", to_milliseconds(now - attempt.started)},
+                 {"age_ms", to_milliseconds(now - it.arrived)},
+                 {"target_ms", to_milliseconds(it.rule->latency_target)},
+                 {"running", static_cast<std::int64_t>(attempt.known.running)},
+                 {"queued", static_cast<std::int64_t>(attempt.known.queued)},
+                 {"slowdown", attempt.known.slowdown},
+                 {"load_age_ms", to_milliseconds(attempt.known_age)},
+                 {"routing_version", static_cast<std::int64_t>(it.table->config.version.value)}});
+}
+
 http_headers passed_on(const request_attempt& attempt) {
     return end_to_end_headers(attempt.headers, {});
 }
@@ -104,6 +132,7 @@
         return;
     }
     note_end(board, it, attempt.status, "server");
+    log_response(board, it, attempt);
     const auto headers = passed_on(attempt);
     const auto status = attempt.status;
     auto body = std::move(attempt.body);
