Guard the queue against requests that end while it is walked; drop unused fields

Cause: a request that is refused while the queue is walked also takes its other entry out, so that the walk could go on past the end. Found by reading; no run showed it, and it has no test of its own.

--- a/include/endivelever/gateway/dialect.hpp
+++ b/include/endivelever/gateway/dialect.hpp
@@ -18,8 +18,6 @@
     std::string request_id;      ///< on requests and responses; differs for each attempt of a caller
     std::string deadline_ms;     ///< on requests: milliseconds that the caller still waits
     std::string expected_server; ///< on requests to servers: id of the server that is meant
-    std::string signature;       ///< on responses of servers
-    std::string load;            ///< on responses of servers
 };
 
 /// What a response of a server says beside its status and body.
--- a/include/endivelever/gateway/request.hpp
+++ b/include/endivelever/gateway/request.hpp
@@ -44,13 +44,11 @@
     bool has_body = false;
     time_point arrived{};
     duration spent_before{}; ///< in earlier attempts of the caller, as its deadline tells
-    time_point caller_deadline{};
-    time_point final_at{}; ///< the final response is due: route's timeout or caller's deadline
+    time_point final_at{};   ///< the final response is due: route's timeout or caller's deadline
     std::vector<std::unique_ptr<request_attempt>> attempts;
     request_attempt* streaming = nullptr; ///< attempt whose response already goes to the caller
     bool hedged = false;                  ///< a second server was looked for
     bool may_have_run = false;            ///< an attempt ended without proof that it did not run
-    std::string last_failure;
 };
 
 } // namespace endivelever
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -124,7 +124,6 @@
                  {"load_age_ms", to_milliseconds(attempt.known_age)},
                  {"waited_ms", to_milliseconds(attempt.started - it.arrived)},
                  {"after_ms", to_milliseconds(boot_clock::now() - attempt.started)}});
-    it.last_failure = attempt.failure;
     it.may_have_run = it.may_have_run || !attempt.not_run;
     if (it.exchange == nullptr || other_in_progress(it)) {
         return;
--- a/src/gateway/intake.cpp
+++ b/src/gateway/intake.cpp
@@ -38,8 +38,7 @@
 
 void set_times(gateway_request& it, std::optional<duration> deadline) {
     const auto timeout = it.rule->timeout > duration::zero() ? it.rule->timeout : deadline.value_or(10s);
-    it.caller_deadline = it.arrived + deadline.value_or(timeout);
-    it.final_at = std::min(it.caller_deadline, it.arrived + timeout);
+    it.final_at = it.arrived + std::min(deadline.value_or(timeout), timeout);
 }
 
 /// A caller that comes back states what is left of its deadline.
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -222,6 +222,9 @@
 void send_unanswered(gateway_board& board, gateway_service& service, time_point now) {
     const bool blind = now - service.heard_at > blind_after;
     for (std::size_t i = service.waiting.size(); blind && i > 0; --i) {
+        if (i > service.waiting.size()) {
+            continue; // a request that ended took its other entry with it
+        }
         const auto& it = service.waiting[i - 1];
         if (now - it.queued > blind_after && it.purpose != send_purpose::hedge) {
             send_blindly(board, service, i - 1);
