--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -114,7 +114,8 @@
     curl_socket_t fd = CURL_SOCKET_BAD;
     curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &fd);
     const auto found = sockets.find(fd);
-    if (found != sockets.end()) {
+    // The next transfer may have taken the connection over before this one was collected.
+    if (found != sockets.end() && !found->second->registered) {
         found->second->busy = false;
         found->second->watch_while_idle(loop);
     }
@@ -154,6 +155,7 @@
     }
     auto& watcher = found->second->watcher;
     ev_io_stop(self.loop, &watcher);
+    found->second->registered = what != CURL_POLL_REMOVE;
     if (what == CURL_POLL_REMOVE) {
         return 0;
     }
--- a/src/net/http_client_core.hpp
+++ b/src/net/http_client_core.hpp
@@ -17,6 +17,7 @@
     client_core* core = nullptr;
     std::string address;
     bool busy = true;
+    bool registered = false; ///< libcurl waits for it on behalf of a transfer
 
     /// Closes the connection as soon as anything arrives on it: no response is due there.
     void watch_while_idle(struct ev_loop* loop);
--- a/tests/contract/http_client_test.cpp
+++ b/tests/contract/http_client_test.cpp
@@ -265,5 +265,29 @@
     EXPECT_LE(reply.body.size(), 1000U);
 }
 
+// Guards against taking a connection for idle that the next transfer already uses: its response would close
+// it.
+TEST(http_client_reuse, a_connection_taken_over_at_once_is_not_idle) {
+    test_loop loop;
+    http_server::handlers handlers;
+    handlers.on_head = [](http_exchange& exchange) { exchange.respond(200, {}, "answer"); };
+    const auto server =
+        std::move(*http_server::open(loop.get(), socket_address("127.0.0.1:0"), {}, std::move(handlers)));
+    http_client client(loop.get(), 1);
+    constexpr int transfers = 200;
+    int done = 0;
+    int complete = 0;
+    for (int i = 0; i < transfers; ++i) {
+        http_request request;
+        request.address = socket_address("127.0.0.1:" + std::to_string(server->port()));
+        fetch(client, std::move(request), byte_count{1024}, [&](const http_reply& reply) {
+            ++done;
+            complete += reply.end.failure == transfer_failure::none && reply.body == "answer" ? 1 : 0;
+        });
+    }
+    EXPECT_TRUE(loop.run_until([&] { return done == transfers; }));
+    EXPECT_EQ(transfers, complete);
+}
+
 } // namespace
 } // namespace endivelever::http_test
