--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -36,7 +36,7 @@
 
 /// A change of the server entries, with the revision that this VM had after it.
 struct logged_change {
-    store_revision seen_at;
+    object_revision seen_at;
     object_change change;
 };
 
@@ -51,9 +51,9 @@
     counter_table counters;
 
     std::shared_ptr<const route_table> routes; ///< nullptr until a configuration was read
-    store_revision routing_revision;
+    object_revision routing_revision;
     server_registry registry;
-    store_revision servers_revision;
+    object_revision servers_revision;
     std::map<service_id, gateway_service> services;
 
     bool registered = false;   ///< this VM's own entry is in the store
@@ -64,7 +64,7 @@
     std::string packed_routing;                           ///< empty until a peer asks for it
     std::map<std::string, nlohmann::json> server_objects; ///< entries as stored, for peers
     std::deque<logged_change> server_log;                 ///< latest changes, oldest first, for peers
-    store_revision server_log_begin;                      ///< the log holds every change after this revision
+    object_revision server_log_begin;                     ///< the log holds every change after this revision
     bool pulls_routing = false;                           ///< a call to a peer is in progress
     bool pulls_servers = false;
 
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -60,9 +60,10 @@
 void register_own(gateway_board& board);
 /// Reads the registered VMs if that is due; for a VM that watches the store it also shows whether it answers.
 void check_store(gateway_board& board);
-void apply_routing(gateway_board& board, const stored_object& object, store_revision revision);
-void apply_server_list(gateway_board& board, const std::vector<stored_object>& objects, store_revision at);
-void apply_server_changes(gateway_board& board, const std::vector<object_change>& changes, store_revision at);
+void apply_routing(gateway_board& board, const stored_object& object, object_revision revision);
+void apply_server_list(gateway_board& board, const std::vector<stored_object>& objects, object_revision at);
+void apply_server_changes(gateway_board& board, const std::vector<object_change>& changes,
+                          object_revision at);
 /// Brings the pools up to date with registry, configuration and peers.
 void update_pools(gateway_board& board);
 
--- a/include/endivelever/store/object_protocol.hpp
+++ b/include/endivelever/store/object_protocol.hpp
@@ -16,20 +16,20 @@
 using object_kind = strong_id<struct object_kind_tag>;
 
 /// Position in the history of the whole store; rises with every change. 0 means not known.
-using store_revision = strong_number<struct store_revision_tag, std::uint64_t>;
+using object_revision = strong_number<struct object_revision_tag, std::uint64_t>;
 
 /// One object as stored.
 struct stored_object {
     std::string name;
-    store_revision changed_at; ///< revision of its last change
+    object_revision changed_at; ///< revision of its last change
     nlohmann::json content;
 };
 
 /// Part of a list of objects.
 struct object_page {
     std::vector<stored_object> objects;
-    bool more = false;       ///< further objects follow the last one of this page
-    store_revision revision; ///< of the store when the page was read
+    bool more = false;        ///< further objects follow the last one of this page
+    object_revision revision; ///< of the store when the page was read
 };
 
 struct object_change {
@@ -40,7 +40,7 @@
 /// What changed since a revision.
 struct object_changes {
     std::vector<object_change> changes;
-    store_revision revision; ///< to go on from
+    object_revision revision; ///< to go on from
 };
 
 /// How a store's calls are written and its answers read. The adapter of a platform fills it in; addresses,
@@ -49,11 +49,11 @@
     std::function<http_request(const object_kind&, const std::string& after)> list;
     /// Cheap list that may be seconds old.
     std::function<http_request(const object_kind&, const std::string& after)> list_stale;
-    std::function<http_request(const object_kind&, store_revision, duration wait)> watch;
+    std::function<http_request(const object_kind&, object_revision, duration wait)> watch;
     std::function<http_request(const object_kind&, const std::string& name, const nlohmann::json&)> create;
     std::function<http_request(const object_kind&, const std::string& name, const nlohmann::json&)> replace;
     /// Removes an object if its last change is the one named.
-    std::function<http_request(const object_kind&, const std::string& name, store_revision)> remove;
+    std::function<http_request(const object_kind&, const std::string& name, object_revision)> remove;
     std::function<result<object_page>(const std::string& body)> parse_page;
     std::function<result<object_changes>(const std::string& body)> parse_changes;
 };
--- a/include/endivelever/store/object_reflector.hpp
+++ b/include/endivelever/store/object_reflector.hpp
@@ -31,8 +31,8 @@
 class object_reflector {
   public:
     struct handlers {
-        std::function<void(const std::vector<stored_object>&, store_revision)> on_list;
-        std::function<void(const std::vector<object_change>&, store_revision)> on_changes;
+        std::function<void(const std::vector<stored_object>&, object_revision)> on_list;
+        std::function<void(const std::vector<object_change>&, object_revision)> on_changes;
         std::function<void(const std::string& cause)> on_failure; ///< a call failed
         std::function<void()> on_answer;                          ///< a call was answered
     };
@@ -47,7 +47,7 @@
 
     /// Drops the call in progress and lists again at once.
     void list_again();
-    [[nodiscard]] store_revision revision() const { return m_revision; }
+    [[nodiscard]] object_revision revision() const { return m_revision; }
 
   private:
     void list_next_page();
@@ -63,8 +63,8 @@
     timer m_next_call;
     std::optional<transfer_id> m_call;
     std::vector<stored_object> m_listed;
-    store_revision m_list_revision;
-    store_revision m_revision;
+    object_revision m_list_revision;
+    object_revision m_revision;
     duration m_back_off;
     bool m_has_list = false; ///< false while the next call is a list
 };
--- a/src/gateway/knowledge.cpp
+++ b/src/gateway/knowledge.cpp
@@ -61,7 +61,7 @@
     const auto is_in_force = [&board](const stored_object& it) {
         return it.name == board.dialect.routing_object;
     };
-    handlers.on_list = [&board, is_in_force](const std::vector<stored_object>& objects, store_revision at) {
+    handlers.on_list = [&board, is_in_force](const std::vector<stored_object>& objects, object_revision at) {
         for (const auto& it : objects) {
             if (is_in_force(it)) {
                 apply_routing(board, it, at);
@@ -69,7 +69,7 @@
         }
     };
     handlers.on_changes = [&board, is_in_force](const std::vector<object_change>& changes,
-                                                store_revision at) {
+                                                object_revision at) {
         for (const auto& it : changes) {
             if (!it.removed && is_in_force(it.object)) {
                 apply_routing(board, it.object, at);
@@ -85,10 +85,10 @@
 
 object_reflector::handlers server_handlers(gateway_board& board) {
     object_reflector::handlers handlers;
-    handlers.on_list = [&board](const std::vector<stored_object>& objects, store_revision at) {
+    handlers.on_list = [&board](const std::vector<stored_object>& objects, object_revision at) {
         apply_server_list(board, objects, at);
     };
-    handlers.on_changes = [&board](const std::vector<object_change>& changes, store_revision at) {
+    handlers.on_changes = [&board](const std::vector<object_change>& changes, object_revision at) {
         apply_server_changes(board, changes, at);
     };
     handlers.on_answer = [&board] { note_answer(board); };
@@ -161,7 +161,7 @@
     fetch(*board.store, std::move(request), max_check_reply, std::move(on_reply));
 }
 
-void log_change(gateway_board& board, const object_change& change, store_revision at) {
+void log_change(gateway_board& board, const object_change& change, object_revision at) {
     if (change.removed) {
         board.server_objects.erase(change.object.name);
     } else {
@@ -204,7 +204,7 @@
 
 } // namespace
 
-void apply_routing(gateway_board& board, const stored_object& object, store_revision revision) {
+void apply_routing(gateway_board& board, const stored_object& object, object_revision revision) {
     auto config = board.dialect.read_routing(object.content);
     if (!config) {
         write_event(board.log, "routing_rejected",
@@ -224,12 +224,12 @@
                 {{"version", static_cast<std::int64_t>(board.routes->config.version.value)},
                  {"replaces", static_cast<std::int64_t>(old_version)},
                  {"routes", static_cast<std::int64_t>(board.routes->config.routes.size())},
-                 {"store_revision", static_cast<std::int64_t>(revision.value)}});
+                 {"revision", static_cast<std::int64_t>(revision.value)}});
     update_pools(board);
     send_status(board, true);
 }
 
-void apply_server_list(gateway_board& board, const std::vector<stored_object>& objects, store_revision at) {
+void apply_server_list(gateway_board& board, const std::vector<stored_object>& objects, object_revision at) {
     std::vector<registered_server> listed;
     listed.reserve(objects.size());
     for (const auto& it : objects) {
@@ -247,19 +247,19 @@
     board.servers_revision = at;
     write_event(board.log, "servers_listed",
                 {{"entries", static_cast<std::int64_t>(listed.size())},
-                 {"store_revision", static_cast<std::int64_t>(at.value)}});
+                 {"revision", static_cast<std::int64_t>(at.value)}});
     update_pools(board);
     send_status(board, true);
 }
 
 void apply_server_changes(gateway_board& board, const std::vector<object_change>& changes,
-                          store_revision at) {
+                          object_revision at) {
     for (const auto& it : changes) {
         log_change(board, it, at);
         if (it.removed) {
             write_event(board.log, "server_entry_removed",
                         {{"server", it.object.name},
-                         {"store_revision", static_cast<std::int64_t>(it.object.changed_at.value)}});
+                         {"revision", static_cast<std::int64_t>(it.object.changed_at.value)}});
             apply_removed(board.registry, server_id(it.object.name), boot_clock::now());
         } else if (const auto server = readable(board, it.object)) {
             log_server(board, *server, "watch");
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -102,7 +102,7 @@
 }
 
 void take_servers(gateway_board& board, const json& body) {
-    const store_revision revision{body.at("revision").get<std::uint64_t>()};
+    const object_revision revision{body.at("revision").get<std::uint64_t>()};
     if (revision <= board.servers_revision) {
         return;
     }
@@ -124,7 +124,7 @@
     stored_object object;
     object.name = board.dialect.routing_object;
     object.content = body.at("content");
-    apply_routing(board, object, store_revision{body.at("revision").get<std::uint64_t>()});
+    apply_routing(board, object, object_revision{body.at("revision").get<std::uint64_t>()});
 }
 
 void pull(gateway_board& board, const std::string& address, std::string target, bool& in_progress,
--- a/tests/contract/object_reflector_test.cpp
+++ b/tests/contract/object_reflector_test.cpp
@@ -26,14 +26,14 @@
         access.random = &random;
         access.protocol = platform::make_object_protocol(store.address());
         object_reflector::handlers handlers;
-        handlers.on_list = [this](const std::vector<stored_object>& objects, store_revision) {
+        handlers.on_list = [this](const std::vector<stored_object>& objects, object_revision) {
             ++lists;
             names.clear();
             for (const auto& it : objects) {
                 names.insert(it.name);
             }
         };
-        handlers.on_changes = [this](const std::vector<object_change>& changes, store_revision) {
+        handlers.on_changes = [this](const std::vector<object_change>& changes, object_revision) {
             for (const auto& it : changes) {
                 it.removed ? static_cast<void>(names.erase(it.object.name))
                            : static_cast<void>(names.insert(it.object.name));
