Keep a whole retry token on each VM of a large fleet

Cause: the retry allowance was divided by the number of VMs after half of it was set aside. With 102 VMs or more the share is below one token (0.67 at 472), a retry takes a whole one, and the ratio only fills the bucket up to the share: no request of a grown site was ever repeated or hedged.

Change: retry_share() gives each VM at least one token while the allowance covers that; in a larger fleet only the VMs with a low draw get one, so that the sum stays within the allowance.

The new test fails on the old rule: 0.5 * 176 / 109 < 1.

--- a/include/endivelever/decide/peer_table.hpp
+++ b/include/endivelever/decide/peer_table.hpp
@@ -43,6 +43,9 @@
     std::uint32_t fleet_size = 1;              ///< serving VMs of all domains, as the heads tell
 };
 
+/// Hash of a VM's id, the same on all VMs.
+std::uint64_t rank_of(const vm_id& vm);
+
 constexpr std::size_t heads_per_domain = 2;
 /// Time between two status datagrams.
 constexpr duration status_interval = std::chrono::milliseconds(250);
--- a/include/endivelever/decide/retry.hpp
+++ b/include/endivelever/decide/retry.hpp
@@ -25,6 +25,15 @@
 
 constexpr std::uint32_t max_attempts = 3;
 
+/// Part of the retries that a fleet may make beyond the ratio which one VM may keep ready. A retry takes a
+/// whole token, so a share is at least one token; where the fleet has more VMs than its allowance covers,
+/// only VMs with a low draw get one.
+/// @param allowance  retries beyond the ratio in one window, over all VMs
+/// @param vms        VMs of the fleet, those included that may not live any more
+/// @param draw       number of this VM from 0 to 1, spread evenly over the fleet
+/// @return limit of the VM's budget in tokens; over the fleet at most the allowance
+double retry_share(std::uint32_t allowance, std::size_t vms, double draw);
+
 /// Credits the budget for a first attempt, or debits it when the call itself is a retry of an earlier hop,
 /// so that the retries of all hops together stay within the ratio.
 /// @param ratio           retries per first attempt, 0 to 1
--- a/src/decide/peer_table.cpp
+++ b/src/decide/peer_table.cpp
@@ -18,10 +18,6 @@
 // One more VM for each of these spans calls the store while no head has access to it.
 constexpr duration takeover_step = 400ms;
 
-std::uint64_t rank_of(const vm_id& vm) {
-    return XXH3_64bits(vm.text.data(), vm.text.size());
-}
-
 bool was_heard(const peer& it, time_point now) {
     return it.last_heard != time_point{} && now - it.last_heard <= silence_limit;
 }
@@ -80,6 +76,10 @@
 
 } // namespace
 
+std::uint64_t rank_of(const vm_id& vm) {
+    return XXH3_64bits(vm.text.data(), vm.text.size());
+}
+
 void apply_registered(peer_table& table, const std::vector<registered_vm>& listed) {
     std::set<vm_id> named;
     for (const auto& it : listed) {
--- a/src/decide/retry.cpp
+++ b/src/decide/retry.cpp
@@ -20,6 +20,9 @@
 // A request that takes this many medians is taken as stuck.
 constexpr int stuck_factor = 5;
 
+// Part of the allowance that is handed out; the rest covers VMs that are not counted yet.
+constexpr double used_allowance = 0.8;
+
 bool is_safe_to_repeat(const failed_attempt& attempt) {
     if (attempt.response_started || !attempt.body_replayable) {
         return false;
@@ -29,6 +32,15 @@
 
 } // namespace detail
 
+double retry_share(std::uint32_t allowance, std::size_t vms, double draw) {
+    const double share =
+        detail::used_allowance * allowance / static_cast<double>(std::max<std::size_t>(1, vms));
+    if (share >= 1.0) {
+        return share;
+    }
+    return draw < share ? 1.0 : 0.0;
+}
+
 void note_first_attempt(retry_budget& budget, double ratio, std::uint32_t caller_attempt) {
     const double change = caller_attempt > 0 ? -1.0 : std::clamp(ratio, 0.0, 1.0);
     budget.tokens =
--- a/src/gateway/knowledge.cpp
+++ b/src/gateway/knowledge.cpp
@@ -2,6 +2,7 @@
 #include "endivelever/gateway/controllers.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace endivelever {
 namespace {
@@ -16,8 +17,6 @@
 constexpr std::size_t max_logged_changes = 256;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_conflict = 409;
-// Part of the platform's retry allowance that is handed out: VMs that restart begin with a new share.
-constexpr double used_allowance = 0.5;
 
 void note_answer(gateway_board& board) {
     if (board.registry.store_is_away) {
@@ -103,6 +102,12 @@
             connections, it.draining, it.warm_up_left,   it.start_ms};
 }
 
+/// Number of this VM from 0 to 1, spread evenly over the fleet.
+double own_draw(const gateway_board& board) {
+    return static_cast<double>(rank_of(board.conf.vm)) /
+           static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
 void update_pool(gateway_board& board, const routed_service& conf, time_point now) {
     auto& service = board.services[conf.id];
     service.in_config = true;
@@ -118,12 +123,16 @@
     const auto vms = board.peers.fleet_size;
     update_servers(pool, listed, {}, vms, now);
     service.assumed_time = assumed_time(board.routes->config, conf.id);
-    const auto known = static_cast<double>(std::max<std::size_t>(board.peers.peers.size() + 1, vms));
-    const double share = board.peers.loaded ? used_allowance * board.conf.retry_allowance / known : 0.0;
-    if (service.retries.max_tokens == 0.0) {
-        service.retries.tokens = share / 2;
+    if (board.peers.loaded) {
+        const bool is_new = service.retries.max_tokens == 0.0;
+        service.retries.max_tokens =
+            retry_share(board.conf.retry_allowance, std::max<std::size_t>(board.peers.peers.size() + 1, vms),
+                        own_draw(board));
+        if (is_new) {
+            // A VM that restarts may have used its share right before.
+            service.retries.tokens = service.retries.max_tokens / 2;
+        }
     }
-    service.retries.max_tokens = share;
 }
 
 /// Content of this VM's registration.
--- a/tests/unit/decide_retry_test.cpp
+++ b/tests/unit/decide_retry_test.cpp
@@ -64,5 +64,41 @@
     EXPECT_DOUBLE_EQ(budget.tokens, budget.max_tokens);
 }
 
+struct fleet_case {
+    const char* name;
+    std::uint32_t allowance;
+    std::size_t vms;
+    double retrying_share; ///< least share of the VMs that can retry at all
+};
+
+struct fleet_retries : testing::TestWithParam<fleet_case> {};
+
+// Guards against an allowance that is divided until no VM holds a whole token, so that no request of a large
+// fleet is ever repeated, and against shares that exceed the allowance together.
+TEST_P(fleet_retries, vms_can_retry_and_stay_within_the_allowance) {
+    double sum = 0.0;
+    std::size_t retrying = 0;
+    for (std::size_t i = 0; i < GetParam().vms; ++i) {
+        const double draw = (static_cast<double>(i) + 0.5) / static_cast<double>(GetParam().vms);
+        retry_budget budget{.tokens = 0.0,
+                            .max_tokens = retry_share(GetParam().allowance, GetParam().vms, draw)};
+        sum += budget.max_tokens;
+        for (int request = 0; request < 20; ++request) {
+            note_first_attempt(budget, 0.2);
+        }
+        retrying += allow_retry(budget, attempt_with(true, true)) ? 1 : 0;
+    }
+    EXPECT_LE(sum, GetParam().allowance);
+    EXPECT_GE(static_cast<double>(retrying), GetParam().retrying_share * static_cast<double>(GetParam().vms));
+}
+
+INSTANTIATE_TEST_SUITE_P(sizes, fleet_retries,
+                         testing::Values(fleet_case{"vms_13", 56, 13, 1.0}, fleet_case{"vms_16", 60, 16, 1.0},
+                                         fleet_case{"vms_109", 176, 109, 1.0},
+                                         fleet_case{"vms_138", 212, 138, 1.0},
+                                         fleet_case{"vms_472", 630, 472, 1.0},
+                                         fleet_case{"more_vms_than_allowance", 630, 2000, 0.2}),
+                         [](const auto& it) { return it.param.name; });
+
 } // namespace
 } // namespace endivelever
