Watch the store from three heads of the fleet, and let restarted VMs ask their heads

Each VM that restarted read configuration, servers and VMs itself, the servers from a list that may be seconds old. The head of a domain was any VM, also one with a tenth of a core.

Change: the three heads that rank highest in the fleet watch; others take over in turn when no head says that the store answers it, and of several that took over one goes on. A watch rests 400 ms after changes. A restarted VM asks its heads, which answer at once and pack the same answer once; it reads the store itself after 300 ms, then from a list that is current. VMs rank by processor share first. The list of VMs is read every 30 s.

--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -41,6 +41,14 @@
     object_change change;
 };
 
+/// Answer about server entries that was packed for a peer; others ask for the same.
+struct packed_changes {
+    std::uint64_t since = 0;  ///< revision that the peer has
+    object_revision revision; ///< of this VM when it was packed
+    time_point packed_at{};
+    std::string body; ///< empty: none was packed
+};
+
 /// Blackboard of the gateway process. Controllers are free functions that read and write it.
 struct gateway_board {
     gateway_settings conf;
@@ -57,16 +65,18 @@
     object_revision servers_revision;
     std::map<service_id, gateway_service> services;
 
-    bool registered = false;   ///< this VM's own entry is in the store
-    time_point listed_at{};    ///< last reading of the list of VMs
-    bool check_failed = false; ///< the last cheap call to the store was not answered
+    bool registered = false;       ///< this VM's own entry is in the store
+    time_point listed_at{};        ///< last reading of the list of VMs
+    bool read_first_state = false; ///< the store was asked for configuration and servers after a restart
+    bool check_failed = false;     ///< the last cheap call to the store was not answered
 
     nlohmann::json routing_content;                       ///< as stored, for peers
     std::string packed_routing;                           ///< empty until a peer asks for it
     std::map<std::string, nlohmann::json> server_objects; ///< entries as stored, for peers
     std::deque<logged_change> server_log;                 ///< latest changes, oldest first, for peers
     object_revision server_log_begin;                     ///< the log holds every change after this revision
-    bool pulls_routing = false;                           ///< a call to a peer is in progress
+    packed_changes packed_servers;
+    bool pulls_routing = false; ///< a call to a peer is in progress
     bool pulls_servers = false;
 
     peer_table peers;
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -58,8 +58,9 @@
 void update_watches(gateway_board& board);
 /// Writes this VM's entry into the store.
 void register_own(gateway_board& board);
-/// Reads configuration and server entries once, so that a VM that restarts need not wait for the heads.
-void read_first_state(gateway_board& board);
+/// Reads configuration and server entries once after a restart: a head at once, another VM if its heads do
+/// not tell it soon.
+void read_missing_state(gateway_board& board, time_point now);
 /// Reads the registered VMs if that is due; for a VM that watches the store it also shows whether it answers.
 void check_store(gateway_board& board);
 void apply_routing(gateway_board& board, const stored_object& object, object_revision revision);
--- a/include/endivelever/gateway/settings.hpp
+++ b/include/endivelever/gateway/settings.hpp
@@ -24,7 +24,8 @@
     double retry_ratio = 0.2;                        ///< retries per request, over all VMs
     std::uint32_t retry_allowance = 50;              ///< retries beyond the ratio in one window, over all VMs
     double probes_per_server_per_second = 0.0;       ///< limit over all VMs
-    bool first_start = false; ///< the whole system starts for the first time: no VM is registered yet
+    bool first_start = false;   ///< the whole system starts for the first time: no VM is registered yet
+    std::uint32_t capacity = 0; ///< processor share in hundredths of a core; 0 if not known
     std::uint32_t max_connections = 3000; ///< of callers
 };
 
--- a/include/endivelever/wire/messages.hpp
+++ b/include/endivelever/wire/messages.hpp
@@ -100,6 +100,8 @@
     std::uint32_t fleet_size = 0;       ///< serving VMs of all failure domains
     std::vector<std::string> domain_addresses; ///< serving VMs of the sender's failure domain
     std::vector<std::string> other_addresses;  ///< some serving VMs of other failure domains
+    bool store_heard = false;   ///< the store answers this head, or a head of any domain that it hears
+    std::uint32_t capacity = 0; ///< processor share in hundredths of a core
 };
 
 using message = std::variant<hello_message, heartbeat_message, document_message, member_table_message,
--- a/src/decide/peer_table.cpp
+++ b/src/decide/peer_table.cpp
@@ -11,10 +11,15 @@
 
 constexpr std::size_t max_answer_addresses = 64;
 constexpr std::size_t max_peers = 16'384;
+// A rank holds the capacity above so many bits of the hash.
+constexpr unsigned hash_bits = 48;
+constexpr std::uint32_t max_capacity = 0xffff;
 // A head that was silent is tried again after this time; a restart takes about as long.
 constexpr duration dead_time = 3s;
 // Without any status of a head for this long a VM takes itself as cut off and reads the store itself.
 constexpr duration isolation_limit = 1500ms;
+// Two status datagrams of a head in another domain may be lost.
+constexpr duration store_silence_limit = 2 * domain_interval + 250ms;
 // One more VM for each of these spans calls the store while no head has access to it.
 constexpr duration takeover_step = 400ms;
 
@@ -58,6 +63,15 @@
     vm_id vm;
 };
 
+void sort_by_rank(std::vector<ranked_vm>& vms) {
+    std::sort(vms.begin(), vms.end(),
+              [](const ranked_vm& left, const ranked_vm& right) { return left.rank > right.rank; });
+}
+
+std::uint64_t known_rank(const peer_table& table, const vm_id& vm) {
+    return vm == table.own.vm ? rank_of(vm, table.own.capacity) : table.peers.at(vm).rank;
+}
+
 /// VMs of a domain by rank, this one included.
 std::vector<ranked_vm> ranked(const peer_table& table, const failure_domain& domain) {
     std::vector<ranked_vm> found;
@@ -67,19 +81,23 @@
         }
     }
     if (table.own.failure_domain == domain) {
-        found.push_back({rank_of(table.own.vm), table.own.vm});
+        found.push_back({rank_of(table.own.vm, table.own.capacity), table.own.vm});
     }
-    std::sort(found.begin(), found.end(),
-              [](const ranked_vm& left, const ranked_vm& right) { return left.rank > right.rank; });
+    sort_by_rank(found);
     return found;
 }
 
 } // namespace
 
-std::uint64_t rank_of(const vm_id& vm) {
+std::uint64_t hash_of(const vm_id& vm) {
     return XXH3_64bits(vm.text.data(), vm.text.size());
 }
 
+std::uint64_t rank_of(const vm_id& vm, std::uint32_t capacity) {
+    const std::uint64_t weight = std::min(capacity, max_capacity);
+    return (weight << hash_bits) | (hash_of(vm) >> (64U - hash_bits));
+}
+
 void apply_registered(peer_table& table, const std::vector<registered_vm>& listed) {
     std::set<vm_id> named;
     for (const auto& it : listed) {
@@ -88,9 +106,9 @@
         }
         named.insert(it.vm);
         auto& known = table.peers[it.vm];
-        known.rank = rank_of(it.vm);
         if (known.last_heard == time_point{}) {
             known.record = it;
+            known.rank = rank_of(it.vm, it.capacity);
         }
     }
     std::erase_if(table.peers, [&named](const auto& it) {
@@ -107,12 +125,19 @@
     if (was_heard(known, now) && !is_newer(status, known.status)) {
         return false;
     }
-    known.rank = rank_of(status.vm);
-    known.record = {status.vm, status.failure_domain, status.peer_address};
+    known.rank = rank_of(status.vm, status.capacity);
+    known.record = {status.vm, status.failure_domain, status.peer_address, status.capacity};
     known.status = status;
     known.last_heard = now;
     known.dead_until = {};
-    if (status.failure_domain == table.own.failure_domain && !status.is_head) {
+    const bool own_domain = status.failure_domain == table.own.failure_domain;
+    if (status.is_head && (status.store_answers || (own_domain && !table.is_head && status.store_heard))) {
+        table.store_heard_at = now;
+        if (known.rank > rank_of(table.own.vm, table.own.capacity)) {
+            table.store_heard_above_at = now;
+        }
+    }
+    if (own_domain && !status.is_head) {
         table.asked_as_head = now;
     }
     return true;
@@ -129,24 +154,52 @@
     return heads;
 }
 
+std::vector<vm_id> find_watchers(peer_table& table, time_point now) {
+    std::set<failure_domain> domains{table.own.failure_domain};
+    for (const auto& it : table.peers) {
+        domains.insert(it.second.record.failure_domain);
+    }
+    std::vector<ranked_vm> heads;
+    for (const auto& domain : domains) {
+        for (auto& it : find_heads(table, domain, now)) {
+            heads.push_back({known_rank(table, it), std::move(it)});
+        }
+    }
+    sort_by_rank(heads);
+    std::vector<vm_id> watchers;
+    for (std::size_t i = 0; i < std::min(watchers_per_fleet, heads.size()); ++i) {
+        watchers.push_back(std::move(heads[i].vm));
+    }
+    return watchers;
+}
+
+bool hears_of_store(const peer_table& table, bool watches, time_point now) {
+    const auto heard = watches ? table.store_heard_above_at : table.store_heard_at;
+    return now - std::max(heard, table.started) <= store_silence_limit;
+}
+
 peer_duties find_duties(peer_table& table, time_point store_bad_since, time_point now) {
+    const auto is_own = [&table](const vm_id& it) { return it == table.own.vm; };
     const auto heads = find_heads(table, table.own.failure_domain, now);
-    peer_duties duties;
-    duties.is_head = table.loaded && std::find(heads.begin(), heads.end(), table.own.vm) != heads.end();
+    const bool is_head = table.loaded && std::any_of(heads.begin(), heads.end(), is_own);
     const auto since = std::max(table.started, table.head_heard_at);
-    const bool isolated = now - since > isolation_limit;
+    const bool isolated = !is_head && now - since > isolation_limit;
     bool takes_over = false;
     if (store_bad_since != time_point{}) {
         const auto order = ranked(table, table.own.failure_domain);
         const auto position =
-            std::find_if(order.begin(), order.end(), [&](const auto& it) { return it.vm == table.own.vm; }) -
+            std::find_if(order.begin(), order.end(), [&](const ranked_vm& it) { return is_own(it.vm); }) -
             order.begin();
         takes_over = now - store_bad_since >= position * takeover_step;
     }
-    duties.watches = duties.is_head || isolated || takes_over;
-    duties.is_head =
-        duties.watches || (table.asked_as_head != time_point{} && now - table.asked_as_head <= silence_limit);
-    return duties;
+    bool watches = isolated || takes_over;
+    if (is_head && !watches) {
+        const auto watchers = find_watchers(table, now);
+        watches = std::any_of(watchers.begin(), watchers.end(), is_own);
+    }
+    table.is_head = is_head;
+    const bool is_asked = table.asked_as_head != time_point{} && now - table.asked_as_head <= silence_limit;
+    return {is_head || watches || is_asked, watches};
 }
 
 bool is_serving(const peer& it, time_point now) {
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -105,6 +105,7 @@
     status_timer = std::make_unique<timer>(board.loop, [this] {
         send_status(board, false);
         update_watches(board);
+        read_missing_state(board, boot_clock::now());
     });
     status_timer->start(status_check_interval, status_check_interval);
     store_timer = std::make_unique<timer>(board.loop, [this] {
@@ -153,12 +154,11 @@
     board.store_access.client = board.store.get();
     board.store_access.random = &board.random;
     board.store_access.protocol = board.dialect.store;
-    board.peers.own = {board.conf.vm, board.conf.failure_domain, board.conf.peer_address.text};
+    board.peers.own = {board.conf.vm, board.conf.failure_domain, board.conf.peer_address.text,
+                       board.conf.capacity};
     board.peers.started = boot_clock::now() + (board.conf.first_start ? first_list_delay : duration::zero());
     if (board.conf.first_start) {
         register_own(board);
-    } else {
-        read_first_state(board);
     }
     it->start_timers();
     write_event(board.log, "started",
--- a/src/gateway/knowledge.cpp
+++ b/src/gateway/knowledge.cpp
@@ -2,6 +2,7 @@
 #include "endivelever/gateway/controllers.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace endivelever {
@@ -11,8 +12,11 @@
 
 constexpr duration check_deadline = 800ms;
 constexpr byte_count max_check_reply{4UL << 20U};
-// VMs that are not heads read the list of VMs at this interval.
-constexpr duration member_list_interval = 10s;
+// VMs that do not watch the store read the list of VMs at this interval; their heads tell what matters
+// meanwhile.
+constexpr duration member_list_interval = 30s;
+// The heads of the domain answer a VM that restarts well within this time.
+constexpr duration first_state_patience = 300ms;
 // A peer that missed more changes gets the whole list.
 constexpr std::size_t max_logged_changes = 256;
 constexpr unsigned status_ok = 200;
@@ -104,8 +108,9 @@
 
 /// Number of this VM from 0 to 1, spread evenly over the fleet.
 double own_draw(const gateway_board& board) {
-    return static_cast<double>(rank_of(board.conf.vm)) /
-           static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    constexpr unsigned digits = std::numeric_limits<double>::digits;
+    return std::ldexp(static_cast<double>(hash_of(board.conf.vm) >> (64U - digits)),
+                      -static_cast<int>(digits));
 }
 
 void update_pool(gateway_board& board, const routed_service& conf, time_point now) {
@@ -138,7 +143,8 @@
 /// Content of this VM's registration.
 nlohmann::json own_record(const gateway_board& board) {
     return {{"failure_domain", board.conf.failure_domain.text},
-            {"peer_address", board.conf.peer_address.text}};
+            {"peer_address", board.conf.peer_address.text},
+            {"capacity", board.conf.capacity}};
 }
 
 std::string text_of(const nlohmann::json& object, const char* key) {
@@ -146,6 +152,11 @@
     return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
+std::uint32_t number_of(const nlohmann::json& object, const char* key) {
+    const auto found = object.find(key);
+    return found != object.end() && found->is_number_unsigned() ? found->get<std::uint32_t>() : 0;
+}
+
 /// Takes over the complete list; a VM that is not in it as it should be registers.
 void take_vm_list(gateway_board& board, const std::vector<stored_object>& objects) {
     std::vector<registered_vm> listed;
@@ -153,7 +164,7 @@
     for (const auto& it : objects) {
         if (it.content.is_object() && !text_of(it.content, "peer_address").empty()) {
             listed.push_back({vm_id(it.name), failure_domain(text_of(it.content, "failure_domain")),
-                              text_of(it.content, "peer_address")});
+                              text_of(it.content, "peer_address"), number_of(it.content, "capacity")});
         }
         has_own = has_own || (it.name == board.conf.vm.text && it.content == own_record(board));
     }
@@ -163,10 +174,12 @@
     }
     const bool first = !board.peers.loaded;
     apply_registered(board.peers, listed);
+    send_status(board, false);
     if (first) {
         update_pools(board); // the number of VMs decides the share of the retry budget
+        update_watches(board);
+        read_missing_state(board, boot_clock::now());
     }
-    send_status(board, false);
 }
 
 void send_check(gateway_board& board, http_request request, std::function<void(const http_reply&)> on_reply) {
@@ -343,7 +356,14 @@
     });
 }
 
-void read_first_state(gateway_board& board) {
+void read_missing_state(gateway_board& board, time_point now) {
+    const bool has_state = board.routes != nullptr && board.registry.loaded;
+    const bool is_due = board.duties.is_head ? board.peers.loaded && !board.duties.watches
+                                             : now - board.peers.started >= first_state_patience;
+    if (board.conf.first_start || board.read_first_state || has_state || !is_due) {
+        return;
+    }
+    board.read_first_state = true;
     const auto ignore_failure = [] {}; // the heads tell, and a VM that hears none watches the store itself
     const auto take_routing = [&board](const std::vector<stored_object>& objects, object_revision at) {
         for (const auto& it : objects) {
@@ -357,13 +377,14 @@
             apply_server_list(board, objects, at);
         }
     };
-    // A configuration that is seconds old might be older than the one that callers saw before the restart.
+    // State that is seconds old might be older than what callers saw before the restart: a former
+    // configuration, or a server that has left since.
     read_list(board, board.dialect.routing_kind, board.dialect.store.list, take_routing, ignore_failure);
-    read_list(board, board.dialect.server_kind, board.dialect.store.list_stale, take_servers, ignore_failure);
+    read_list(board, board.dialect.server_kind, board.dialect.store.list, take_servers, ignore_failure);
 }
 
 void check_store(gateway_board& board) {
-    const bool due = board.duties.watches || !board.peers.loaded ||
+    const bool due = board.duties.watches || !board.peers.loaded || !board.registered ||
                      boot_clock::now() - board.listed_at >= member_list_interval;
     if (!due) {
         return;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -11,8 +11,6 @@
 
 // Enough for callers whose own domain has no VM left.
 constexpr std::size_t max_other_addresses = 6;
-// Heads of other domains hear of this one at this interval, and at once of a change.
-constexpr duration domain_interval = 500ms;
 
 bool is_own_domain(const gateway_board& board, const peer& it) {
     return it.record.failure_domain == board.conf.failure_domain;
@@ -73,9 +71,12 @@
     status.relay_address = board.conf.relay_address.text;
     status.routing_version = is_ready(board) ? board.routes->config.version.value : 0;
     status.servers_revision = board.servers_revision.value;
+    status.capacity = board.peers.own.capacity;
     status.is_head = board.duties.is_head;
     if (status.is_head) {
         status.store_answers = board.duties.watches && !board.registry.store_is_away;
+        status.store_heard =
+            status.store_answers || hears_of_store(board.peers, board.duties.watches, boot_clock::now());
         status.fleet_size = board.peers.fleet_size;
         status.domain_addresses = board.peers.domain_addresses;
         status.other_addresses = board.peers.other_addresses;
@@ -112,16 +113,9 @@
 
 /// Since when no head that this VM hears has access to the store; default if one has or none is heard.
 time_point store_bad_since(gateway_board& board, time_point now) {
-    bool heard = false;
-    bool good = false;
-    for (const auto& it : board.peers.peers) {
-        if (is_own_domain(board, it.second) && it.second.status.is_head &&
-            now - it.second.last_heard <= silence_limit) {
-            heard = true;
-            good = good || it.second.status.store_answers;
-        }
-    }
-    if (!heard || good) {
+    const auto& table = board.peers;
+    const bool hears_heads = table.is_head || now - table.head_heard_at <= silence_limit;
+    if (!hears_heads || hears_of_store(table, board.duties.watches, now)) {
         board.store_bad_since = {};
     } else if (board.store_bad_since == time_point{}) {
         board.store_bad_since = now;
@@ -129,17 +123,28 @@
     return board.store_bad_since;
 }
 
-void note_domain_store(gateway_board& board, const gateway_status_message& status, time_point now) {
+/// Takes over what the heads tell about the store; a VM that watches it knows itself.
+void note_told_store_state(gateway_board& board, time_point now) {
     if (board.duties.watches) {
         return;
     }
-    if (status.store_answers) {
+    if (hears_of_store(board.peers, false, now)) {
         note_store_answer(board.registry, now);
     } else if (board.store_bad_since != time_point{}) {
         note_store_away(board.registry);
     }
 }
 
+/// Tells a VM of the own domain that lacks the configuration in force at once, so that it need not wait for
+/// the next datagram.
+void answer_restarted(gateway_board& board, const gateway_status_message& status) {
+    const bool lacks_state = status.state == member_state::live && status.routing_version == 0;
+    if (board.duties.is_head && is_ready(board) && lacks_state &&
+        status.failure_domain == board.conf.failure_domain) {
+        board.peer_socket->send(socket_address(status.peer_address), encode(own_status(board)));
+    }
+}
+
 } // namespace
 
 void review_peers(gateway_board& board, time_point now) {
@@ -184,8 +189,8 @@
         return;
     }
     const bool is_own_head = status->is_head && status->failure_domain == board.conf.failure_domain;
+    note_told_store_state(board, now);
     if (is_own_head) {
-        note_domain_store(board, *status, now);
         if (board.duties.is_head) {
             board.peers.head_heard_at = now;
         } else {
@@ -193,6 +198,7 @@
         }
     }
     pull_if_newer(board, *status);
+    answer_restarted(board, *status);
 }
 
 } // namespace endivelever
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -17,6 +17,8 @@
 // A peer in the same failure domain answers in milliseconds; a large configuration takes longer.
 constexpr duration pull_deadline = 1500ms;
 constexpr byte_count max_pulled{8UL << 20U};
+// An answer also tells how long ago the store came back, which must not be much off.
+constexpr duration packed_validity = 100ms;
 constexpr std::size_t max_unpacked = 64UL << 20U;
 
 std::string pack(const std::string& text) {
@@ -156,6 +158,18 @@
           });
 }
 
+/// The VMs of a domain ask for the same changes at the same time; packing them once saves most of the work.
+const std::string& packed_since(gateway_board& board, std::uint64_t since) {
+    const auto now = boot_clock::now();
+    auto& it = board.packed_servers;
+    const bool fits = !it.body.empty() && it.since == since && it.revision == board.servers_revision &&
+                      now - it.packed_at <= packed_validity;
+    if (!fits) {
+        it = {since, board.servers_revision, now, servers_since(board, since)};
+    }
+    return it.body;
+}
+
 } // namespace
 
 void pull_if_newer(gateway_board& board, const gateway_status_message& status) {
@@ -188,7 +202,7 @@
             at == std::string::npos
                 ? 0
                 : std::strtoull(target.c_str() + at + std::strlen(since_parameter), nullptr, 10);
-        exchange.respond(status_ok, headers, servers_since(board, since));
+        exchange.respond(status_ok, headers, packed_since(board, since));
         return true;
     }
     if (path == routing_path || path == servers_path) {
--- a/src/store/object_reflector.cpp
+++ b/src/store/object_reflector.cpp
@@ -14,8 +14,9 @@
 // A watch costs one call however long it waits; the store allows 30 s.
 constexpr duration watch_wait = 25s;
 constexpr duration watch_margin = 2s;
-// Changes often come in groups; waiting this long before the next watch takes them in one call.
-constexpr duration change_gap = 100ms;
+// Changes come in groups, such as the reports of servers that warm up; waiting this long before the next
+// watch takes them in one call. The first change after a pause is told at once.
+constexpr duration change_gap = 400ms;
 constexpr duration keep_alive_interval = 1s;
 constexpr byte_count max_reply{16UL << 20U};
 constexpr unsigned status_ok = 200;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -95,7 +95,8 @@
     const auto far = out.CreateVectorOfStrings(value.other_addresses);
     return fb::CreateGatewayStatus(out, vm, value.life.value, value.sequence, to_fb(value.state), domain,
                                    caller, peer, relay, value.routing_version, value.servers_revision,
-                                   value.is_head, value.store_answers, value.fleet_size, near, far)
+                                   value.is_head, value.store_answers, value.fleet_size, near, far,
+                                   value.store_heard, value.capacity)
         .Union();
 }
 
@@ -241,7 +242,9 @@
         value->store_answers(),
         value->fleet_size(),
         in.list(value->domain_addresses(), wire_limits::members, "domain addresses", address),
-        in.list(value->other_addresses(), wire_limits::members, "other addresses", address)};
+        in.list(value->other_addresses(), wire_limits::members, "other addresses", address),
+        value->store_heard(),
+        value->capacity()};
 }
 
 result<message> unpack(reader& in, const fb::Envelope* value) {
--- a/tests/contract/gateway_fixture.hpp
+++ b/tests/contract/gateway_fixture.hpp
@@ -96,8 +96,9 @@
         return conf;
     }
 
-    gateway_process& add_gateway(const std::string& vm) {
+    gateway_process& add_gateway(const std::string& vm, const std::string& domain = "zone-a") {
         auto conf = settings_of(vm, store.address());
+        conf.failure_domain = failure_domain(domain);
         auto opened = gateway_process::open(loop.get(), conf, platform::make_dialect(conf.store_address));
         EXPECT_TRUE(opened) << (opened ? "" : opened.error().message);
         gateways.push_back(std::move(*opened));
--- a/tests/contract/gateway_test.cpp
+++ b/tests/contract/gateway_test.cpp
@@ -182,6 +182,58 @@
     }));
 }
 
+// Guards against watches that grow with the number of failure domains, and against domains that miss a change
+// because none of their own VMs watches the store.
+TEST_F(gateway_fixture, few_heads_watch_the_store_for_all_failure_domains) {
+    start(1);
+    for (int i = 0; i < 12; ++i) {
+        add_gateway("vm-" + std::to_string(i) + "x", "zone-" + std::to_string(i % 6));
+    }
+    const auto watching = [&] {
+        return std::count_if(gateways.begin(), gateways.end(),
+                             [](const auto& it) { return it->board().duties.watches; });
+    };
+    ASSERT_TRUE(loop.run_until([&] {
+        return watching() == static_cast<std::ptrdiff_t>(watchers_per_fleet) &&
+               std::all_of(gateways.begin(), gateways.end(), [](const auto& it) {
+                   return it->board().peers.fleet_size == 13 && is_ready(it->board());
+               });
+    }));
+    put_config("0000000f", true);
+    add_target("i-late");
+    EXPECT_TRUE(loop.run_until([&] {
+        return std::all_of(gateways.begin(), gateways.end(), [](const auto& it) {
+            return it->board().routes->config.version.value == 15 && it->board().registry.entries.size() == 2;
+        });
+    }));
+    EXPECT_EQ(static_cast<std::ptrdiff_t>(watchers_per_fleet), watching());
+}
+
+// Guards against restarts that cost the store one call for each kind of object and VM, and against a list
+// that may be seconds old and names a server that has left since.
+TEST_F(gateway_fixture, restarted_vm_learns_the_state_from_its_heads) {
+    start(2);
+    for (int i = 2; i <= 5; ++i) {
+        add_gateway("vm-" + std::to_string(i));
+    }
+    const auto is_settled = [](const auto& it) {
+        return it->board().peers.fleet_size == 5 && is_ready(it->board()) && it->board().registered;
+    };
+    ASSERT_TRUE(loop.run_until([&] { return std::all_of(gateways.begin(), gateways.end(), is_settled); }));
+    const auto member = std::find_if(gateways.begin(), gateways.end(),
+                                     [](const auto& it) { return !it->board().duties.is_head; });
+    ASSERT_NE(gateways.end(), member);
+    const auto vm = (*member)->board().conf.vm.text;
+    gateways.erase(member);
+    store.remove("servers", "i-1");
+    ASSERT_TRUE(loop.run_until([&] { return gateways.front()->board().registry.entries.size() == 1; }));
+    const auto lists = store.lists;
+    auto& restarted = add_gateway(vm);
+    ASSERT_TRUE(loop.run_until([&] { return is_ready(restarted.board()); }));
+    EXPECT_EQ(1U, restarted.board().registry.entries.size());
+    EXPECT_EQ(lists + 1, store.lists) << "the list of VMs only";
+}
+
 // Guards against a VM that restarts and takes no requests until it has given up waiting for heads.
 TEST_F(gateway_fixture, restarted_vm_reads_the_store_without_waiting_for_heads) {
     for (int i = 1; i <= 20; ++i) {
--- a/tests/unit/peer_table_test.cpp
+++ b/tests/unit/peer_table_test.cpp
@@ -133,5 +133,86 @@
     EXPECT_EQ(64U, caller_addresses(std::vector<std::string>(100, "a"), {}, 3, random).size());
 }
 
+// Guards against the work of a head on a VM that is too small for it while a larger one is there.
+TEST(peer_table, larger_vms_are_heads) {
+    auto listed = vms(9);
+    listed[3].capacity = 50;
+    listed[7].capacity = 50;
+    auto table = table_of("vm-0", listed);
+    const auto heads = find_heads(table, domain_a, start);
+    EXPECT_EQ((std::set<vm_id>{vm_id("vm-3"), vm_id("vm-7")}), std::set<vm_id>(heads.begin(), heads.end()));
+}
+
+constexpr std::size_t domains = 6;
+
+/// Fleet of several failure domains with as many VMs each.
+std::vector<registered_vm> fleet(std::size_t vms_per_domain) {
+    std::vector<registered_vm> listed;
+    for (std::size_t i = 0; i < domains * vms_per_domain; ++i) {
+        listed.push_back(vm("vm-" + std::to_string(i), "d" + std::to_string(i % domains)));
+    }
+    return listed;
+}
+
+peer_table table_in(const registered_vm& own, const std::vector<registered_vm>& listed) {
+    auto table = table_of(own.vm.text, listed);
+    table.own = own;
+    return table;
+}
+
+gateway_status_message head_status(const registered_vm& of, std::uint64_t sequence, bool store_answers) {
+    auto it = status(of.vm, sequence);
+    it.failure_domain = of.failure_domain;
+    it.store_answers = store_answers;
+    return it;
+}
+
+// Guards against watches of the store that grow with the number of failure domains.
+TEST(peer_table, few_heads_watch_the_store_for_the_whole_fleet) {
+    const auto listed = fleet(10);
+    std::size_t watching = 0;
+    for (const auto& it : listed) {
+        auto table = table_in(it, listed);
+        watching += find_duties(table, {}, start).watches ? 1 : 0;
+    }
+    EXPECT_EQ(watchers_per_fleet, watching);
+}
+
+// Guards against a fleet that hears of no change because its watchers are the ones that the store refuses.
+TEST(peer_table, other_heads_take_over_from_watchers_without_store) {
+    const auto listed = fleet(10);
+    std::size_t watching = 0;
+    for (const auto& it : listed) {
+        auto table = table_in(it, listed);
+        const auto now = start + 2s;
+        for (const auto& other : listed) {
+            merge_status(table, head_status(other, 1, false), now);
+        }
+        table.head_heard_at = now;
+        EXPECT_FALSE(hears_of_store(table, false, now));
+        watching += find_duties(table, now, now).watches ? 1 : 0;
+    }
+    EXPECT_GT(watching, watchers_per_fleet);
+    EXPECT_LE(watching, watchers_per_fleet + domains);
+}
+
+// Guards against VMs that took over at the same time and leave it to each other again, so that nobody
+// watches.
+TEST(peer_table, of_several_that_took_over_one_goes_on) {
+    const auto listed = fleet(10);
+    const auto now = start + 10s;
+    std::size_t going_on = 0;
+    for (const auto& it : listed) {
+        auto table = table_in(it, listed);
+        for (const auto& other : listed) {
+            if (other.vm != it.vm) {
+                merge_status(table, head_status(other, 1, true), now);
+            }
+        }
+        going_on += hears_of_store(table, true, now) ? 0 : 1;
+    }
+    EXPECT_EQ(1U, going_on);
+}
+
 } // namespace
 } // namespace endivelever
