Prefer twelve near servers of a service, so that connections are used again

Change: the subset by rendezvous hash takes servers of the own failure domain first, and candidates outside of it count as 1.3 times as slow. When the preferred servers are busy, others are asked.

--- a/include/endivelever/decide/probe_choice.hpp
+++ b/include/endivelever/decide/probe_choice.hpp
@@ -16,6 +16,10 @@
 constexpr std::size_t enough_questions = 8;
 /// Servers asked at each review for all requests that still wait after that.
 constexpr std::size_t review_questions = 1;
+/// Servers of a service that a VM prefers, so that its connections are used again before they are closed as
+/// idle. One request that asks as many as it may leaves some to others; those beyond follow when these are
+/// busy.
+constexpr std::uint32_t preferred_servers = 12;
 /// Answers take one round trip; a server that does not answer in this time is taken as silent.
 constexpr duration answer_limit = std::chrono::milliseconds(15);
 
@@ -51,7 +55,8 @@
 bool is_at_ease(const load_report& report, std::uint32_t slots);
 
 /// Names servers to ask. Those that are known to be slow, silent or failing come last, those of the own
-/// failure domain first.
+/// failure domain and the
+/// preferred ones first.
 /// Servers that were asked and may still answer in time are left out.
 /// @param excluded     servers that may not be used
 /// @param keep_domain  true if a response is so large that it should not cross failure domains
--- a/src/decide/probe_choice.cpp
+++ b/src/decide/probe_choice.cpp
@@ -23,6 +23,8 @@
 // Crossing failure domains costs a few milliseconds and a price for each byte.
 constexpr double far_factor = 1.2;
 constexpr double far_factor_of_large = 6.0;
+// Servers outside of the subset need a new connection more often.
+constexpr double spill_factor = 1.3;
 // Keeps VMs that know the same from asking the same servers.
 constexpr double jitter = 0.3;
 
@@ -116,7 +118,8 @@
             continue;
         }
         const double cost = recent_factor(view, now) * standing_factor(view, now) *
-                            domain_factor(pool, view, keep_domain) * (1.0 + jitter * random_unit(random));
+                            domain_factor(pool, view, keep_domain) * (view.in_subset ? 1.0 : spill_factor) *
+                            (1.0 + jitter * random_unit(random));
         ranked.emplace_back(cost, i);
     }
     n = std::min(n, ranked.size());
--- a/src/decide/server_view.cpp
+++ b/src/decide/server_view.cpp
@@ -38,20 +38,31 @@
     return fresh;
 }
 
-/// Rendezvous hashing: each entry prefers the servers with the highest hash of entry and server.
+struct subset_order {
+    bool is_near = false; ///< in the failure domain of the entry
+    XXH64_hash_t hash = 0;
+
+    auto operator<=>(const subset_order&) const = default;
+};
+
+/// Rendezvous hashing: each entry prefers the servers of its own failure domain with the highest hash of
+/// entry and server, then those of other domains.
 void mark_subset(server_pool& pool) {
-    std::vector<std::pair<XXH64_hash_t, server_view*>> ranked;
+    std::vector<std::pair<subset_order, server_view*>> ranked;
     ranked.reserve(pool.servers.size());
     const auto seed = XXH3_64bits(pool.own_vm.text.data(), pool.own_vm.text.size());
     for (auto& it : pool.servers) {
         const auto& id = it.listed.id.text;
-        ranked.emplace_back(XXH3_64bits_withSeed(id.data(), id.size(), seed), &it);
+        ranked.emplace_back(subset_order{it.listed.failure_domain == pool.own_domain,
+                                         XXH3_64bits_withSeed(id.data(), id.size(), seed)},
+                            &it);
         it.in_subset = true;
     }
     if (pool.subset_size == 0) {
         return;
     }
-    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto& left, const auto& right) { return left.first > right.first; });
     for (std::size_t i = pool.subset_size; i < ranked.size(); ++i) {
         ranked[i].second->in_subset = false;
     }
--- a/src/gateway/knowledge.cpp
+++ b/src/gateway/knowledge.cpp
@@ -121,6 +121,7 @@
     pool.service.connections_per_server = conf.max_connections;
     pool.own_domain = board.conf.failure_domain;
     pool.own_vm = board.conf.vm;
+    pool.subset_size = preferred_servers;
     std::vector<listed_server> listed;
     for (const auto& it : servers_of(board.registry, conf.id)) {
         listed.push_back(to_listed(it, conf.max_connections));
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -4,6 +4,7 @@
 #include "endivelever/decide/wait_queue.hpp"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace endivelever {
 namespace {
@@ -122,6 +123,19 @@
     return it;
 }
 
+/// The pool after its settings changed.
+server_pool resubset(server_pool pool) {
+    std::vector<listed_server> servers;
+    for (const auto& it : pool.servers) {
+        servers.push_back(it.listed);
+    }
+    update_servers(pool, servers, {}, 1, start - 1h);
+    for (auto& it : pool.servers) {
+        it.connection_share = 100;
+    }
+    return pool;
+}
+
 // Guards against questions to servers that cannot be used, that were just silent, or that are known to be
 // slow.
 TEST(probe_choice, asks_the_most_promising_servers) {
@@ -146,6 +160,53 @@
     }
 }
 
+/// Servers that a VM asks at 2.75 requests a second with four questions each, within the 10 s after which
+/// servers close idle connections; one server in four answers that it is slow.
+std::set<server_index> asked_within_idle_time(server_pool& pool) {
+    std::set<server_index> asked;
+    random_source random(7, 1);
+    for (int i = 0; i < 27; ++i) {
+        const auto now = start + i * 360ms;
+        for (const auto index : pick_candidates(pool, {}, 4, false, now, random)) {
+            asked.insert(index);
+            note_report(pool.servers[index], report(0, random_unit(random) < 0.25 ? 4.0 : 1.0), now);
+        }
+    }
+    return asked;
+}
+
+// Guards against a new connection for nearly each question where a service has hundreds of servers.
+TEST(probe_choice, a_vm_returns_to_its_preferred_servers) {
+    auto pool = pool_of(646);
+    EXPECT_GT(asked_within_idle_time(pool).size(), 2 * preferred_servers);
+    pool = pool_of(646);
+    pool.own_vm = vm_id("vm-1");
+    pool.subset_size = preferred_servers;
+    pool = resubset(pool);
+    const auto asked = asked_within_idle_time(pool);
+    EXPECT_LE(asked.size(), preferred_servers);
+    for (const auto index : asked) {
+        EXPECT_EQ(failure_domain("a"), pool.servers[index].listed.failure_domain);
+    }
+}
+
+// Guards against a VM that stays with its preferred servers when all of them are busy.
+TEST(probe_choice, busy_preferred_servers_lead_to_others) {
+    auto pool = pool_of(646);
+    pool.own_vm = vm_id("vm-1");
+    pool.subset_size = preferred_servers;
+    pool = resubset(pool);
+    for (auto& it : pool.servers) {
+        if (it.in_subset) {
+            note_report(it, report(4, 4.0), start - 5ms);
+        }
+    }
+    random_source random(7, 1);
+    for (const auto index : pick_candidates(pool, {}, 3, false, start, random)) {
+        EXPECT_FALSE(pool.servers[index].in_subset);
+    }
+}
+
 // Guards against a rate of questions above the platform's limit over all VMs.
 TEST(probe_choice, questions_stay_within_the_limit) {
     constexpr std::uint32_t vms = 13;
