Let all heads read the list of VMs every two seconds again

Cause: VMs that start at the same moment read a list without each other.

Change: heads read the list every two seconds, as they did while all of them watched.

--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -61,8 +61,8 @@
 /// Reads configuration and server entries once after a restart: a head at once, another VM if its heads do
 /// not tell it soon.
 void read_missing_state(gateway_board& board, time_point now);
-/// Reads the registered VMs if that is due. VMs that watch the store do so each time, so that VMs that were
-/// added are known to the heads.
+/// Reads the registered VMs if that is due. Heads do so each time, so that VMs that started at the same
+/// moment and know only of older ones find each other.
 void refresh_vms(gateway_board& board);
 /// For a VM that watches the store: checks whether it still answers, since a watch that waits does not show
 /// that its connection leads nowhere any more.
--- a/src/gateway/knowledge.cpp
+++ b/src/gateway/knowledge.cpp
@@ -16,8 +16,7 @@
 constexpr duration check_interval = 500ms;
 constexpr duration liveness_deadline = 450ms;
 constexpr byte_count max_check_reply{4UL << 20U};
-// VMs that do not watch the store read the list of VMs at this interval; their heads tell what matters
-// meanwhile.
+// VMs that are no heads read the list of VMs at this interval; their heads tell what matters meanwhile.
 constexpr duration member_list_interval = 30s;
 // The heads of the domain answer a VM that restarts well within this time.
 constexpr duration first_state_patience = 300ms;
@@ -393,7 +392,7 @@
 }
 
 void refresh_vms(gateway_board& board) {
-    const bool due = board.duties.watches || !board.peers.loaded || !board.registered ||
+    const bool due = board.duties.is_head || !board.peers.loaded || !board.registered ||
                      boot_clock::now() - board.listed_at >= member_list_interval;
     if (!due) {
         return;
