--- a/src/decide/server_view.cpp
+++ b/src/decide/server_view.cpp
@@ -41,10 +41,12 @@
 struct subset_order {
     bool is_near = false; ///< in the failure domain of the entry
     XXH64_hash_t hash = 0;
-
-    auto operator<=>(const subset_order&) const = default;
 };
 
+bool is_preferred(const subset_order& left, const subset_order& right) {
+    return left.is_near != right.is_near ? left.is_near : left.hash > right.hash;
+}
+
 /// Rendezvous hashing: each entry prefers the servers of its own failure domain with the highest hash of
 /// entry and server, then those of other domains.
 void mark_subset(server_pool& pool) {
@@ -62,7 +64,7 @@
         return;
     }
     std::sort(ranked.begin(), ranked.end(),
-              [](const auto& left, const auto& right) { return left.first > right.first; });
+              [](const auto& left, const auto& right) { return is_preferred(left.first, right.first); });
     for (std::size_t i = pool.subset_size; i < ranked.size(); ++i) {
         ranked[i].second->in_subset = false;
     }
