Learn how servers respond to load, and refuse requests whose turn comes too late

Cause: the placement assumed the slowdown of one kind of server (1.7 times as long above 0.8 of the slots, a mean slowdown of 1.75, speeds that change every 300 ms). Requests that had missed their target waited up to 900 ms and were refused then.

Change: service_model learns response times by occupancy, the spread around the prediction, the speeds and how long a speed lasts. A server gets requests up to the load with the highest throughput.

--- a/src/decide/probe_choice.cpp
+++ b/src/decide/probe_choice.cpp
@@ -8,10 +8,8 @@
 
 using namespace std::chrono_literals;
 
-// Server speeds change about every 300 ms, so a report loses half of its weight in half of that time.
-constexpr double report_half_life_ms = 150.0;
-// Mean slowdown over all servers, assumed for a server without a recent report.
-constexpr double mean_slowdown = 1.75;
+// Lets a VM try unknown servers if the few that it knows are busy.
+constexpr double assumed_light_servers = 8.0;
 // A server that did not answer a probe is ranked last for this time.
 constexpr duration unresponsive_period = 500ms;
 constexpr double unresponsive_factor = 20.0;
@@ -36,26 +34,33 @@
 constexpr duration max_probe_burst = 15s;
 constexpr duration initial_credit = 1s;
 
-// Up to this slowdown a server counts as running at its usual speed.
-constexpr double max_usual_slowdown = 1.3;
+/// Response time relative to a light load according to the last report.
+double reported_factor(const server_pool& pool, const server_view& view) {
+    return to_seconds(predicted_time(pool.model, view.last_report, view.slots)) /
+           to_seconds(light_time(pool.model));
+}
 
-double load_factor(const load_report& report, std::uint32_t slots) {
-    const double calls = static_cast<double>(report.running) + report.queued + 1.0;
-    const double share = calls / std::max(1U, slots);
-    const double full = share > nearly_full_share ? nearly_full_factor : 1.0;
-    return full * std::max(1.0, share);
+/// Mean over all servers that have reported and some more that are assumed to be lightly loaded.
+double mean_reported_factor(const server_pool& pool) {
+    double sum = assumed_light_servers;
+    double n = assumed_light_servers;
+    for (const auto& it : pool.servers) {
+        if (it.reported_at != time_point{}) {
+            sum += reported_factor(pool, it);
+            n += 1.0;
+        }
+    }
+    return sum / n;
 }
 
-/// Slowdown and load from the last report; converges to the mean slowdown as the report ages.
-double reported_factor(const server_view& view, time_point now) {
+/// Response time relative to a light load. As the report of the server ages, it converges to the mean of all.
+double expected_factor(const server_pool& pool, const server_view& view, double mean, time_point now) {
     if (view.reported_at == time_point{}) {
-        return mean_slowdown;
+        return mean;
     }
-    const double age = to_milliseconds(now - view.reported_at);
-    const double weight = report_half_life_ms / (report_half_life_ms + std::max(0.0, age));
-    const double speed = view.last_report.slowdown > 0.0 ? view.last_report.slowdown : 1.0;
-    const double reported = speed * load_factor(view.last_report, view.slots);
-    return weight * reported + (1.0 - weight) * mean_slowdown;
+    const double half_life = to_seconds(speed_lifetime(pool.model)) / 2.0;
+    const double weight = half_life / (half_life + std::max(0.0, to_seconds(now - view.reported_at)));
+    return weight * reported_factor(pool, view) + (1.0 - weight) * mean;
 }
 
 /// Penalty for failures, unanswered probes and states other than serving.
@@ -89,12 +94,6 @@
 
 } // namespace
 
-duration predicted_time(const load_report& report, std::uint32_t slots, duration usual_time) {
-    const double speed = report.slowdown > 0.0 ? report.slowdown : 1.0;
-    const double factor = speed * load_factor(report, slots);
-    return duration(static_cast<duration::rep>(static_cast<double>(usual_time.count()) * factor));
-}
-
 load_report adjusted_report(const server_view& view) {
     auto report = view.last_report;
     const auto own = static_cast<std::uint32_t>(view.in_flight.size());
@@ -102,18 +101,11 @@
     return report;
 }
 
-bool has_room(const load_report& report, std::uint32_t slots) {
-    return report.running + report.queued < slots;
-}
-
-bool is_uncontended(const load_report& report, std::uint32_t slots) {
-    return report.slowdown <= max_usual_slowdown && load_factor(report, slots) <= 1.0;
-}
-
 std::vector<server_index> pick_candidates(const server_pool& pool, const std::vector<server_id>& excluded,
                                           std::size_t n, bool prefer_own_domain, time_point now,
                                           random_source& random) {
     std::vector<std::pair<double, server_index>> ranked;
+    const double mean = mean_reported_factor(pool);
     for (server_index i = 0; i < pool.servers.size(); ++i) {
         const auto& view = pool.servers[i];
         const bool is_probe_pending =
@@ -122,7 +114,7 @@
             contains(excluded, view.listed.id)) {
             continue;
         }
-        const double cost = reported_factor(view, now) * state_factor(view, now) *
+        const double cost = expected_factor(pool, view, mean, now) * state_factor(view, now) *
                             domain_factor(pool, view, prefer_own_domain) *
                             (view.in_subset ? 1.0 : outside_subset_factor) *
                             (1.0 + cost_jitter * random_unit(random));
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -13,23 +13,17 @@
 // Longer than a request waits for probe responses: a late response still updates the view of its server.
 constexpr duration probe_timeout = 300ms;
 constexpr byte_count max_probe_response_size{4096};
-// Used for a service without enough responses for a median whose routes have no latency target.
-constexpr duration fallback_response_time = 50ms;
 // If no server of a service has answered a probe for this long, servers are chosen by the load reports of
 // earlier responses.
 constexpr duration probe_silence_limit = 40ms;
-// A load report of this age still matches the current speed of a server in nine of ten cases.
-constexpr duration recent_report_age = 25ms;
-// A load report of this age makes a probe unnecessary.
-constexpr duration fresh_report_age = 10ms;
 constexpr duration min_retry_after = 100ms;
 
 duration expected_response_time(const gateway_service& service) {
-    if (service.median_response_time > duration::zero()) {
-        return service.median_response_time;
-    }
-    return service.default_response_time > duration::zero() ? service.default_response_time
-                                                            : fallback_response_time;
+    return light_time(service.pool.model);
+}
+
+response_estimate response_estimate_of(const gateway_service& service) {
+    return {light_time(service.pool.model), response_margin(service.pool.model)};
 }
 
 const routed_service* find_service_config(const gateway_board& board, const service_id& id) {
@@ -46,16 +40,19 @@
     const auto present = adjusted_report(view);
     offer.usable = !is_draining(view) && view.state != server_state::ejected &&
                    view.in_flight.size() < view.connection_share;
-    offer.has_free_slot = has_room(present, view.slots);
-    offer.has_spare_capacity = is_uncontended(present, view.slots);
-    offer.predicted_latency = predicted_time(present, view.slots, expected_response_time(service));
+    offer.has_free_slot = has_room(service.pool.model, present, view.slots);
+    offer.has_spare_capacity = is_uncontended(service.pool.model, present, view.slots);
+    offer.predicted_latency = predicted_time(service.pool.model, present, view.slots);
     return offer;
 }
 
 /// Sends the request at `position` of the wait queue to a server.
 void dispatch_waiting(gateway_board& board, gateway_service& service, std::size_t position,
                       server_view& view) {
-    const auto number = service.waiting[position].request;
+    const auto& entry = service.waiting[position];
+    const auto number = entry.request;
+    const auto now = boot_clock::now();
+    note_queue_dispatch(service.paces, can_meet_target(entry, expected_response_time(service), now), now);
     service.waiting.erase(service.waiting.begin() + static_cast<std::ptrdiff_t>(position));
     const auto found = board.requests.find(number);
     if (found != board.requests.end() && found->second->exchange != nullptr) {
@@ -83,7 +80,7 @@
     }
     if (it.probes_pending == 0 && !it.probing_done) {
         it.probing_done = true;
-        offer_recently_reported(board, service, recent_report_age, boot_clock::now());
+        offer_recently_reported(board, service, recent_report_age(service.pool.model), boot_clock::now());
     }
 }
 
@@ -106,6 +103,7 @@
         return;
     }
     const auto now = boot_clock::now();
+    learn_speed(service.pool.model, *facts.report, view.last_report, now - view.reported_at);
     note_report(view, *facts.report, now);
     service.last_probe_report_at = now;
     assign_waiting_requests(board, service, view);
@@ -196,6 +194,21 @@
     }
 }
 
+/// Refuses requests whose turn will come too late because of the requests ahead of them.
+void refuse_excess(gateway_board& board, gateway_service& service, time_point now) {
+    const auto expected = expected_response_time(service);
+    update_paces(service.paces, service.waiting, expected, now);
+    for (const auto number :
+         select_refusals(service.waiting, service.paces, response_estimate_of(service), now)) {
+        remove_waiting(service.waiting, number);
+        const auto found = board.requests.find(number);
+        if (found != board.requests.end()) {
+            fail_unassigned(board, *found->second, attempt_purpose::first, "too many requests wait",
+                            expected);
+        }
+    }
+}
+
 /// Refuses requests that no server can answer before their final response is due.
 void refuse_unservable(gateway_board& board, gateway_service& service, time_point now) {
     const auto expected = expected_response_time(service);
@@ -280,11 +293,15 @@
         entry.tried.push_back(attempt->server);
     }
     service.waiting.push_back(entry);
+    refuse_excess(board, service, entry.queued_at);
+    if (find_waiting(service, entry.request, purpose) == nullptr) {
+        return;
+    }
     if (service.reports_load && service.waiting.front().probing_done) {
         // No probes for this request: requests that already wait get the next server with a free slot.
         service.waiting.back().probing_done = true;
     } else if (service.reports_load) {
-        offer_recently_reported(board, service, fresh_report_age, entry.queued_at);
+        offer_recently_reported(board, service, fresh_report_age(service.pool.model), entry.queued_at);
         if (auto* waiting = find_waiting(service, it.number, purpose)) {
             probe_servers(board, service, *waiting, initial_probes);
         }
@@ -298,7 +315,7 @@
 void assign_waiting_requests(gateway_board& board, gateway_service& service, server_view& view) {
     while (!service.waiting.empty()) {
         const auto position = select_request(service.waiting, make_offer(service, view),
-                                             expected_response_time(service), boot_clock::now());
+                                             response_estimate_of(service), boot_clock::now());
         if (!position) {
             return;
         }
@@ -312,8 +329,9 @@
         return;
     }
     refuse_unservable(board, service, now);
+    refuse_excess(board, service, now);
     refuse_overdue(board, service, now);
-    offer_recently_reported(board, service, recent_report_age, now);
+    offer_recently_reported(board, service, recent_report_age(service.pool.model), now);
     dispatch_unanswered(board, service, now);
     expire_probes(board, service, now);
     if (!service.waiting.empty() && service.waiting.front().probing_done) {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -36,7 +36,7 @@
 }
 
 request_number chosen(const wait_queue& queue, const server_offer& it) {
-    const auto position = select_request(queue, it, usual_time, start);
+    const auto position = select_request(queue, it, {usual_time, 1.0}, start);
     return position ? queue[*position].request : 0;
 }
 
@@ -288,7 +288,7 @@
                     auto& view = pool.servers[candidate];
                     probed.push_back(view.listed.id);
                     note_report(view, report(0, model.slowdown[candidate]), now);
-                    if (!found && is_uncontended(view.last_report, view.slots)) {
+                    if (!found && is_uncontended(pool.model, view.last_report, view.slots)) {
                         index = candidate;
                         found = true;
                     }
