Pace probes of full servers, so that VMs do not take the same free slot together

Cause, found with an emulator of servers, VMs and callers that runs the real decisions in virtual time: while all servers are full, each VM probes every 10 ms. Several VMs find the same free slot, and their requests lift the server above its operating limit. Requests were also sent when half of the responses would be too late, and the pace of a short queue was taken for that of a longer one.

Change: review_pacing lengthens the interval of these probes while reports show more than the operating limit, and shortens it while they show free slots. Requests whose rest of the target is below the likely response time are refused while others wait. Requests go out without a probe only if probes stay unanswered or the budget allows none: no probe was sent is no sign that servers do not answer.

--- a/include/endivelever/decide/probe_choice.hpp
+++ b/include/endivelever/decide/probe_choice.hpp
@@ -37,6 +37,21 @@
 void credit_probes(probe_budget& budget, double per_server_per_second, std::size_t servers, std::uint32_t vms,
                    time_point now);
 
+/// Paces the probes that a VM sends for requests that wait because all servers are full. Several VMs that
+/// find the same free slot at the same time send more requests than the server should run, so that VMs probe
+/// less often the more servers they find above the operating limit, and more often if they find free slots.
+struct review_pacing {
+    duration interval = std::chrono::milliseconds(10);
+    time_point last_probe{};
+};
+
+/// Adapts the interval to a load report that answers a probe.
+/// @param limit  requests that the server should run at the same time, see operating_limit()
+void adapt_pacing(review_pacing& pacing, const load_report& report, std::uint32_t limit);
+
+/// @return true if the next probe is due; it then counts as sent
+bool take_review_probe(review_pacing& pacing, time_point now);
+
 /// Takes up to `wanted` probes from the budget.
 /// @return the number of probes that may be sent now
 std::size_t take_probes(probe_budget& budget, std::size_t wanted);
--- a/include/endivelever/decide/wait_queue.hpp
+++ b/include/endivelever/decide/wait_queue.hpp
@@ -44,6 +44,9 @@
     double margin = 1.0;   ///< factor that few responses exceed
 };
 
+/// @return response time that few responses of lightly loaded servers exceed
+duration likely_time(const response_estimate& expected);
+
 /// Pace at which waiting requests are sent to servers.
 struct queue_pace {
     duration interval{};        ///< smoothed time from one dispatch to the next while requests wait
@@ -95,10 +98,10 @@
 std::optional<std::size_t> select_request(const wait_queue& queue, const server_offer& offer,
                                           const response_estimate& expected, time_point now);
 
-/// Finds the requests to refuse now: those that can no longer meet their latency target while others in the
-/// queue still can. Retries, hedges and requests that the caller already attempted before are kept.
-std::vector<request_number> requests_to_refuse(const wait_queue& queue, duration typical_time,
-                                               time_point now);
+/// Finds the requests to refuse now: those that would probably miss their latency target while others in the
+/// queue can still meet it. Retries, hedges and requests that the caller already attempted before are kept.
+/// @param needed  response time that a request must have left
+std::vector<request_number> requests_to_refuse(const wait_queue& queue, duration needed, time_point now);
 
 /// True if a server that starts the request now cannot respond before its deadline.
 bool cannot_meet_deadline(const waiting_request& it, duration typical_time, time_point now);
--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -30,10 +30,12 @@
     histogram response_time; ///< from dispatch to the complete response, successes only
     wait_queue waiting;
     queue_paces paces;
-    time_point last_probe_report_at{}; ///< last load report in a probe response of any of its servers
-    duration median_response_time{};   ///< median of response_time; 0 until there are enough responses
-    bool reports_load = true;          ///< the last response carried a load report; initially assumed
-    bool in_config = false;            ///< the service is part of the configuration in force
+    review_pacing pacing;
+    /// First probe since the last load report in the response to one; default if none was needed since.
+    time_point probe_unanswered_since{};
+    duration median_response_time{}; ///< median of response_time; 0 until there are enough responses
+    bool reports_load = true;        ///< the last response carried a load report; initially assumed
+    bool in_config = false;          ///< the service is part of the configuration in force
 };
 
 /// A change of a server entry and the revision of this VM's server list after it.
--- a/src/decide/probe_choice.cpp
+++ b/src/decide/probe_choice.cpp
@@ -26,6 +26,12 @@
 // Keeps VMs with the same information from probing the same servers.
 constexpr double cost_jitter = 0.3;
 
+// At equilibrium one report above the limit balances two with a free slot.
+constexpr double overfull_pacing_factor = 1.5;
+constexpr double free_slot_pacing_factor = 0.8;
+constexpr duration min_review_interval = 10ms;
+constexpr duration max_review_interval = 200ms;
+
 // Leaves a margin for VMs that restarted or do not know of each other yet: they exceed their share for a
 // while.
 constexpr double used_probe_share = 0.75;
@@ -146,6 +152,24 @@
     return taken;
 }
 
+void adapt_pacing(review_pacing& pacing, const load_report& report, std::uint32_t limit) {
+    const auto running = report.running + report.queued;
+    if (running == limit) {
+        return;
+    }
+    const double factor = running > limit ? overfull_pacing_factor : free_slot_pacing_factor;
+    const double interval = to_milliseconds(pacing.interval) * factor;
+    pacing.interval = std::clamp(from_milliseconds(interval), min_review_interval, max_review_interval);
+}
+
+bool take_review_probe(review_pacing& pacing, time_point now) {
+    if (now - pacing.last_probe < pacing.interval) {
+        return false;
+    }
+    pacing.last_probe = now;
+    return true;
+}
+
 void note_probe_timeout(server_view& view, time_point now) {
     view.probe_timed_out_at = now;
 }
--- a/src/decide/wait_queue.cpp
+++ b/src/decide/wait_queue.cpp
@@ -22,6 +22,9 @@
 // keep the pace known.
 constexpr std::size_t kept_in_time = 2;
 constexpr std::size_t kept_late = 1;
+// Interval between dispatches relative to the present one if another request is admitted: a longer queue
+// finds more of the slots that become free.
+constexpr double longer_queue_interval = 0.6;
 // Weight of a new sample in the smoothed interval between dispatches.
 constexpr double pace_smoothing = 0.25;
 
@@ -38,7 +41,7 @@
 /// interval.
 duration predicted_wait(const queue_pace& pace, std::size_t position, time_point now) {
     const auto elapsed = pace.waiting_since == time_point{} ? duration::zero() : now - pace.waiting_since;
-    const auto interval = std::max(pace.interval, elapsed);
+    const auto interval = scaled(std::max(pace.interval, elapsed), longer_queue_interval);
     return std::max(duration::zero(), interval * static_cast<duration::rep>(position + 1) - elapsed);
 }
 
@@ -56,7 +59,7 @@
     if (meets_target(it, scaled(offer.predicted_latency, expected.margin), now)) {
         return true;
     }
-    const bool can_wait = meets_target(it, scaled(expected.light_load, expected.margin), now);
+    const bool can_wait = meets_target(it, likely_time(expected), now);
     return !can_wait && meets_target(it, offer.predicted_latency, now);
 }
 
@@ -85,6 +88,10 @@
 
 } // namespace
 
+duration likely_time(const response_estimate& expected) {
+    return scaled(expected.light_load, expected.margin);
+}
+
 bool can_meet_target(const waiting_request& it, duration typical_time, time_point now) {
     return meets_target(it, typical_time, now);
 }
@@ -160,12 +167,11 @@
     return best;
 }
 
-std::vector<request_number> requests_to_refuse(const wait_queue& queue, duration typical_time,
-                                               time_point now) {
+std::vector<request_number> requests_to_refuse(const wait_queue& queue, duration needed, time_point now) {
     std::vector<request_number> late;
     bool others_wait = false;
     for (const auto& it : queue) {
-        if (meets_target(it, typical_time, now)) {
+        if (meets_target(it, needed, now)) {
             others_wait = true;
         } else if (it.purpose == attempt_purpose::first && it.prior_attempts_time == duration::zero()) {
             late.push_back(it.request);
--- a/src/gateway/model_sync.cpp
+++ b/src/gateway/model_sync.cpp
@@ -30,7 +30,9 @@
     for (std::size_t i = 0; i < values.size(); ++i) {
         const float value = message.log_seconds[i];
         const float weight = message.weights[i];
-        if (value < min_log_seconds || value > max_log_seconds || weight < 0.0F || weight > max_weight) {
+        const bool is_plausible =
+            value >= min_log_seconds && value <= max_log_seconds && weight >= 0.0F && weight <= max_weight;
+        if (!is_plausible) {
             return {};
         }
         values[i] = {value, weight};
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -104,8 +104,9 @@
     }
     const auto now = boot_clock::now();
     learn_speed(service.pool.model, *facts.report, view.last_report, now - view.reported_at);
+    adapt_pacing(service.pacing, *facts.report, operating_limit(service.pool.model, view.slots));
     note_report(view, *facts.report, now);
-    service.last_probe_report_at = now;
+    service.probe_unanswered_since = {};
     assign_waiting_requests(board, service, view);
 }
 
@@ -147,6 +148,9 @@
         return;
     }
     const auto now = boot_clock::now();
+    if (service.probe_unanswered_since == time_point{}) {
+        service.probe_unanswered_since = now; // also if the budget allows no probe
+    }
     const auto n = take_probes(board.probes, wanted);
     for (const auto index :
          pick_candidates(service.pool, it.tried, n, it.prefers_local_domain, now, board.random)) {
@@ -185,7 +189,8 @@
 /// Refuses requests that can no longer meet their latency target while others that still can are waiting.
 void refuse_overdue(gateway_board& board, gateway_service& service, time_point now) {
     const auto expected = expected_response_time(service);
-    for (const auto number : requests_to_refuse(service.waiting, expected, now)) {
+    const auto needed = likely_time(response_estimate_of(service));
+    for (const auto number : requests_to_refuse(service.waiting, needed, now)) {
         remove_waiting(service.waiting, number);
         const auto found = board.requests.find(number);
         if (found != board.requests.end()) {
@@ -244,7 +249,8 @@
 
 /// Sends waiting requests by the load reports of earlier responses if no server answers probes.
 void dispatch_unanswered(gateway_board& board, gateway_service& service, time_point now) {
-    const bool no_reports = now - service.last_probe_report_at > probe_silence_limit;
+    const bool no_reports = service.probe_unanswered_since != time_point{} &&
+                            now - service.probe_unanswered_since > probe_silence_limit;
     for (std::size_t i = service.waiting.size(); no_reports && i > 0; --i) {
         if (i > service.waiting.size()) {
             continue; // a request that ended also removed its second entry (a retry or hedge)
@@ -334,7 +340,8 @@
     offer_recently_reported(board, service, recent_report_age(service.pool.model), now);
     dispatch_unanswered(board, service, now);
     expire_probes(board, service, now);
-    if (!service.waiting.empty() && service.waiting.front().probing_done) {
+    if (!service.waiting.empty() && service.waiting.front().probing_done &&
+        take_review_probe(service.pacing, now)) {
         probe_servers(board, service, service.waiting.front(), probes_per_review);
     }
 }
