--- a/include/endivelever/wire/messages.hpp
+++ b/include/endivelever/wire/messages.hpp
@@ -83,7 +83,6 @@
     std::vector<server_id> draining;   ///< servers that reported that they are draining
 };
 
-/// Status datagram that each gateway VM sends to its peers.
 /// Response times of a service's servers at their usual speed, as one VM or several observed them.
 struct service_times_message {
     service_id service;
@@ -93,6 +92,7 @@
     std::vector<float> weights;
 };
 
+/// Status datagram that each gateway VM sends to its peers.
 struct gateway_status_message {
     vm_id vm;
     incarnation life;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -186,32 +186,31 @@
     }
 }
 
-/// Refuses requests that can no longer meet their latency target while others that still can are waiting.
-void refuse_overdue(gateway_board& board, gateway_service& service, time_point now) {
-    const auto expected = expected_response_time(service);
-    const auto needed = likely_time(response_estimate_of(service));
-    for (const auto number : requests_to_refuse(service.waiting, needed, now)) {
+/// Refuses first attempts that still wait for a server.
+void refuse_requests(gateway_board& board, gateway_service& service,
+                     const std::vector<request_number>& numbers, const char* reason) {
+    const auto retry_after = expected_response_time(service);
+    for (const auto number : numbers) {
         remove_waiting(service.waiting, number);
         const auto found = board.requests.find(number);
         if (found != board.requests.end()) {
-            fail_unassigned(board, *found->second, attempt_purpose::first, "servers are full", expected);
+            fail_unassigned(board, *found->second, attempt_purpose::first, reason, retry_after);
         }
     }
 }
 
+/// Refuses requests that would probably miss their latency target while others can still meet it.
+void refuse_overdue(gateway_board& board, gateway_service& service, time_point now) {
+    const auto needed = likely_time(response_estimate_of(service));
+    refuse_requests(board, service, requests_to_refuse(service.waiting, needed, now), "servers are full");
+}
+
 /// Refuses requests whose turn will come too late because of the requests ahead of them.
 void refuse_excess(gateway_board& board, gateway_service& service, time_point now) {
-    const auto expected = expected_response_time(service);
-    update_paces(service.paces, service.waiting, expected, now);
-    for (const auto number :
-         select_refusals(service.waiting, service.paces, response_estimate_of(service), now)) {
-        remove_waiting(service.waiting, number);
-        const auto found = board.requests.find(number);
-        if (found != board.requests.end()) {
-            fail_unassigned(board, *found->second, attempt_purpose::first, "too many requests wait",
-                            expected);
-        }
-    }
+    const auto expected = response_estimate_of(service);
+    update_paces(service.paces, service.waiting, expected.light_load, now);
+    refuse_requests(board, service, select_refusals(service.waiting, service.paces, expected, now),
+                    "too many requests wait");
 }
 
 /// Refuses requests that no server can answer before their final response is due.
@@ -299,6 +298,7 @@
         entry.tried.push_back(attempt->server);
     }
     service.waiting.push_back(entry);
+    // May refuse this request as well, which ends it.
     refuse_excess(board, service, entry.queued_at);
     if (find_waiting(service, entry.request, purpose) == nullptr) {
         return;
@@ -308,7 +308,7 @@
         service.waiting.back().probing_done = true;
     } else if (service.reports_load) {
         offer_recently_reported(board, service, fresh_report_age(service.pool.model), entry.queued_at);
-        if (auto* waiting = find_waiting(service, it.number, purpose)) {
+        if (auto* waiting = find_waiting(service, entry.request, purpose)) {
             probe_servers(board, service, *waiting, initial_probes);
         }
     } else if (purpose != attempt_purpose::hedge) {
