--- a/include/endivelever/decide/service_model.hpp
+++ b/include/endivelever/decide/service_model.hpp
@@ -80,6 +80,7 @@
 /// Finds the number of requests that a server should run at the same time: the smallest one at which it
 /// completes about as many requests a second as it can.
 /// @return 1 to `slots`
+/// @complexity linear in occupancy_ranges
 std::uint32_t operating_limit(const service_model& model, std::uint32_t slots);
 
 /// @return time after which the speed of a server no longer says anything about its present speed
--- a/src/decide/service_model.cpp
+++ b/src/decide/service_model.cpp
@@ -27,7 +27,7 @@
 constexpr double max_uncontended_factor = 1.3;
 constexpr duration initial_lifetime = 250ms;
 // Reports of a server that are this far apart count as independent even if speeds seem to last longer.
-constexpr duration max_dependence = 500ms;
+constexpr duration independent_report_age = 500ms;
 // Speeds that must be known before their variance says anything.
 constexpr double min_speeds = 16.0;
 constexpr duration min_lifetime = 20ms;
@@ -134,7 +134,7 @@
         return;
     }
     const auto lifetime = speed_lifetime(model);
-    if (previous.slowdown <= 0.0 || age >= std::min(lifetime, max_dependence)) {
+    if (previous.slowdown <= 0.0 || age >= std::min(lifetime, independent_report_age)) {
         // A server is probed again soon only if it was fast, so that earlier reports of it are no fair
         // sample.
         observe(model.slowdown, report.slowdown, max_report_weight);
@@ -187,16 +187,19 @@
     const auto throughput = [&](std::uint32_t n) {
         return n / to_seconds(std::max(time_at(model, static_cast<double>(n) / slots), duration(1)));
     };
+    // Within a range the throughput rises with the load, so that the ends of the ranges are enough.
+    const auto range_end = [slots](std::size_t range) {
+        return std::max(1U, static_cast<std::uint32_t>((range + 1) * slots / occupancy_ranges));
+    };
     double highest = 0.0;
-    for (std::uint32_t n = 1; n <= slots; ++n) {
-        highest = std::max(highest, throughput(n));
+    for (std::size_t range = 0; range < occupancy_ranges; ++range) {
+        highest = std::max(highest, throughput(range_end(range)));
     }
-    for (std::uint32_t n = 1; n < slots; ++n) {
-        if (throughput(n) >= sufficient_throughput * highest) {
-            return n;
-        }
+    std::size_t range = 0;
+    while (throughput(range_end(range)) < sufficient_throughput * highest) {
+        ++range;
     }
-    return std::max(1U, slots);
+    return range_end(range);
 }
 
 duration speed_lifetime(const service_model& model) {
--- a/src/decide/wait_queue.cpp
+++ b/src/decide/wait_queue.cpp
@@ -13,11 +13,6 @@
 // median by about this factor.
 constexpr int min_response_percent = 60;
 
-/// The latency target counts from the caller's first attempt.
-bool meets_target(const waiting_request& it, duration needed, time_point now) {
-    return now - it.arrived + it.prior_attempts_time + needed <= it.latency_target;
-}
-
 // Requests that stay in the queue however slow its pace is. They take slots as soon as these become free and
 // keep the pace known.
 constexpr std::size_t kept_in_time = 2;
@@ -28,6 +23,11 @@
 // Weight of a new sample in the smoothed interval between dispatches.
 constexpr double pace_smoothing = 0.25;
 
+/// The latency target counts from the caller's first attempt.
+bool meets_target(const waiting_request& it, duration needed, time_point now) {
+    return now - it.arrived + it.prior_attempts_time + needed <= it.latency_target;
+}
+
 duration scaled(duration value, double factor) {
     return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
 }
--- a/tests/unit/service_model_test.cpp
+++ b/tests/unit/service_model_test.cpp
@@ -66,6 +66,12 @@
                                          server_kind{"many_slots", 16, 0.75, 2.0, 12}),
                          [](const auto& it) { return it.param.name; });
 
+// Guards against a server entry with an absurd number of slots that keeps the process busy for minutes.
+TEST(service_model, limit_of_a_server_with_billions_of_slots_is_found_at_once) {
+    const auto model = learned_model({"never_slower", 6, 1.0, 1.0, 6}, 200);
+    EXPECT_EQ(4'000'000'000U, operating_limit(model, 4'000'000'000U));
+}
+
 // Guards against decisions based on the first few responses after a restart.
 TEST(service_model, keeps_the_assumed_time_until_there_are_enough_responses) {
     service_model model;
