--- a/include/endivelever/decide/probe_choice.hpp
+++ b/include/endivelever/decide/probe_choice.hpp
@@ -8,8 +8,9 @@
 
 namespace endivelever {
 
-/// Servers probed when a request arrives. Load and speed of a server change so often that the load reports of
-/// earlier responses are soon out of date.
+/// Servers probed when a request arrives. The speed of a server changes several times a second, so that load
+/// reports of earlier responses are soon out of date. Two of three servers run at their usual speed, so that
+/// two probes usually find one.
 constexpr std::size_t initial_probes = 2;
 /// Servers probed next if none of the previous ones is uncontended.
 constexpr std::size_t followup_probes = 3;
@@ -37,28 +38,27 @@
 void credit_probes(probe_budget& budget, double per_server_per_second, std::size_t servers, std::uint32_t vms,
                    time_point now);
 
-/// Paces the probes that a VM sends for requests that wait because all servers are full. Several VMs that
-/// find the same free slot at the same time send more requests than the server should run, so that VMs probe
-/// less often the more servers they find above the operating limit, and more often if they find free slots.
-struct review_pacing {
-    duration interval = std::chrono::milliseconds(10);
-    time_point last_probe{};
-};
-
-/// Adapts the interval to a load report that answers a probe.
-/// @param limit  requests that the server should run at the same time, see operating_limit()
-void adapt_pacing(review_pacing& pacing, const load_report& report, std::uint32_t limit);
-
-/// @return true if the next probe is due; it then counts as sent
-bool take_review_probe(review_pacing& pacing, time_point now);
-
 /// Takes up to `wanted` probes from the budget.
 /// @return the number of probes that may be sent now
 std::size_t take_probes(probe_budget& budget, std::size_t wanted);
 
+/// A request takes nearly_full_factor times as long if, including it, more than this share of slots is busy.
+constexpr double nearly_full_share = 0.8;
+constexpr double nearly_full_factor = 1.7;
+
+/// Predicts the response time of a request that is sent now, based on a load report.
+/// @param usual_time  response time of a server with free slots at its usual speed
+duration predicted_time(const load_report& report, std::uint32_t slots, duration usual_time);
+
 /// @return the last load report, with the requests added that this VM has sent since it arrived
 load_report adjusted_report(const server_view& view);
 
+/// True if the server has more slots than running and queued requests.
+bool has_room(const load_report& report, std::uint32_t slots);
+
+/// True if the server runs at its usual speed and another request would not slow it down.
+bool is_uncontended(const load_report& report, std::uint32_t slots);
+
 /// Selects servers to probe, best candidates first: servers of the own failure domain and of the preferred
 /// subset rank higher, servers known to be slow, unresponsive or failing rank lower. Draining servers,
 /// servers without a free connection and servers whose answer to a probe is still pending are left out.
--- a/include/endivelever/decide/server_view.hpp
+++ b/include/endivelever/decide/server_view.hpp
@@ -5,7 +5,6 @@
 #include "endivelever/config/settings.hpp"
 #include "endivelever/config/vm_list.hpp"
 #include "endivelever/decide/load_report.hpp"
-#include "endivelever/decide/service_model.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -53,7 +52,6 @@
     std::vector<server_view> servers;
     std::uint32_t live_entries = 1; ///< entries that share the servers
     duration latency_estimate{};    ///< smoothed over all servers
-    service_model model;            ///< response times of the servers, learned
     std::uint32_t round_robin_next = 0;
     std::uint32_t subset_size = 0; ///< size of the preferred subset; 0 means the whole pool
     double other_calls_per_server =
--- a/include/endivelever/decide/wait_queue.hpp
+++ b/include/endivelever/decide/wait_queue.hpp
@@ -38,27 +38,6 @@
     bool probing_done = false;        ///< probing is over: any server with a free slot is acceptable
 };
 
-/// Expected response times of a service.
-struct response_estimate {
-    duration light_load{}; ///< of a lightly loaded server at its usual speed
-    double margin = 1.0;   ///< factor that few responses exceed
-};
-
-/// @return response time that few responses of lightly loaded servers exceed
-duration likely_time(const response_estimate& expected);
-
-/// Pace at which waiting requests are sent to servers.
-struct queue_pace {
-    duration interval{};        ///< smoothed time from one dispatch to the next while requests wait
-    time_point waiting_since{}; ///< last dispatch, or later beginning of the wait; default if none waits
-};
-
-/// Paces of the requests that can still meet their latency target and of those that cannot.
-struct queue_paces {
-    queue_pace in_time;
-    queue_pace late;
-};
-
 /// A server whose load report has just arrived.
 struct server_offer {
     server_id server;
@@ -72,36 +51,20 @@
 /// Waiting requests of one service, in order of insertion.
 using wait_queue = std::vector<waiting_request>;
 
-/// True if a server of typical speed could still answer within the latency target.
-bool can_meet_target(const waiting_request& it, duration typical_time, time_point now);
-
-/// Starts or ends the measurement of the paces as requests begin or cease to wait.
-void update_paces(queue_paces& paces, const wait_queue& queue, duration typical_time, time_point now);
-
-/// Records that a request was sent to a server.
-/// @param in_time  result of can_meet_target() for the request
-void note_queue_dispatch(queue_paces& paces, bool in_time, time_point now);
-
-/// Finds requests whose turn will come too late at the present pace: too late for the latency target if the
-/// caller has not been refused before, otherwise too late for the deadline. Refusing them at once lets the
-/// others meet their target and lets their callers try again while there is time. None is refused before a
-/// request found all servers full.
-std::vector<request_number> select_refusals(const wait_queue& queue, const queue_paces& paces,
-                                            const response_estimate& expected, time_point now);
-
 /// Selects the request to send to a server. Requests that would meet their latency target there come first,
-/// ordered by rank, then by age since the caller's first attempt. A request that would probably miss its
-/// target at this server keeps waiting as long as a lightly loaded server could still meet it; after that it
-/// takes any server with a free slot. While its load probes are pending a request takes only a server with
-/// spare capacity.
+/// ordered by rank, then by age since the caller's first attempt. A request that would miss its target at
+/// this server keeps waiting as long as a server of typical speed could still meet it; after that it takes
+/// any server with a free slot. While its load probes are pending a request takes only a server with spare
+/// capacity.
+/// @param typical_time  response time of a server at its usual speed
 /// @return index into the queue, or nothing if no request can use the server
 std::optional<std::size_t> select_request(const wait_queue& queue, const server_offer& offer,
-                                          const response_estimate& expected, time_point now);
+                                          duration typical_time, time_point now);
 
-/// Finds the requests to refuse now: those that would probably miss their latency target while others in the
-/// queue can still meet it. Retries, hedges and requests that the caller already attempted before are kept.
-/// @param needed  response time that a request must have left
-std::vector<request_number> requests_to_refuse(const wait_queue& queue, duration needed, time_point now);
+/// Finds the requests to refuse now: those that can no longer meet their latency target while others in the
+/// queue still can. Retries, hedges and requests that the caller already attempted before are kept.
+std::vector<request_number> requests_to_refuse(const wait_queue& queue, duration typical_time,
+                                               time_point now);
 
 /// True if a server that starts the request now cannot respond before its deadline.
 bool cannot_meet_deadline(const waiting_request& it, duration typical_time, time_point now);
--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -4,7 +4,6 @@
 #include "endivelever/base/event_log.hpp"
 #include "endivelever/base/histogram.hpp"
 #include "endivelever/base/random.hpp"
-#include "endivelever/decide/caller_deadline.hpp"
 #include "endivelever/decide/peer_table.hpp"
 #include "endivelever/decide/probe_choice.hpp"
 #include "endivelever/decide/retry.hpp"
@@ -29,13 +28,11 @@
     retry_budget retries{0.0, 0.0};
     histogram response_time; ///< from dispatch to the complete response, successes only
     wait_queue waiting;
-    queue_paces paces;
-    review_pacing pacing;
-    /// First probe since the last load report in the response to one; default if none was needed since.
-    time_point probe_unanswered_since{};
-    duration median_response_time{}; ///< median of response_time; 0 until there are enough responses
-    bool reports_load = true;        ///< the last response carried a load report; initially assumed
-    bool in_config = false;          ///< the service is part of the configuration in force
+    time_point last_probe_report_at{}; ///< last load report in a probe response of any of its servers
+    duration median_response_time{};   ///< median of response_time; 0 until there are enough responses
+    duration default_response_time{};  ///< used until the median is known, from the routes' latency targets
+    bool reports_load = true;          ///< the last response carried a load report; initially assumed
+    bool in_config = false;            ///< the service is part of the configuration in force
 };
 
 /// A change of a server entry and the revision of this VM's server list after it.
@@ -88,15 +85,14 @@
     peer_duties duties;
     time_point store_unreachable_since{}; ///< since when no head that this VM hears can reach the store
     std::uint64_t status_sequence = 0;
-    service_id last_shared_service; ///< last service whose response times were sent to peers
 
     std::unordered_map<request_number, std::unique_ptr<gateway_request>> requests;
     request_number last_request_number = 0;
     std::function<void()> on_first_request; ///< called when a request arrives while no other is open
-    std::unordered_map<route_id, deadline_profile> deadlines; ///< that callers send, by route
-    histogram latency;                                        ///< from the request head to the final response
-    time_point models_updated_at{}; ///< when the models of the services were last computed
-    time_point models_logged_at{};  ///< when they were last logged
+    /// Longest deadline that callers sent for each route. A shorter one indicates a retry by the caller.
+    std::unordered_map<route_id, duration> longest_deadline;
+    histogram latency;               ///< from the request head to the final response
+    time_point medians_updated_at{}; ///< when the median response times were last computed
     probe_budget probes;
     bool stopping = false;
     time_point stop_started_at{};
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -81,10 +81,6 @@
 void send_status(gateway_board& board, bool at_once);
 /// Updates the duties of this VM.
 void update_duties(gateway_board& board, time_point now);
-/// @return the response times that this VM tells its peers about: as a head those of its failure domain
-std::vector<service_times_message> share_models(gateway_board& board, time_point now);
-/// Applies the response times that a head of the own failure domain collected.
-void apply_shared_models(gateway_board& board, const gateway_status_message& status);
 /// Requests configuration or server entries from a peer whose status shows newer ones.
 void pull_if_newer(gateway_board& board, const gateway_status_message& status);
 /// Responds to such a request. @return false if the path is none of them
--- a/include/endivelever/wire/limits.hpp
+++ b/include/endivelever/wire/limits.hpp
@@ -13,8 +13,6 @@
 constexpr std::size_t digests = 4096;             ///< documents listed in a heartbeat
 constexpr std::size_t members = 1024;             ///< entry VMs in a member table
 constexpr std::size_t servers = 16'384;           ///< servers listed in an entry report
-constexpr std::size_t status_services = 16;       ///< services with response times in one status
-constexpr std::size_t measures = 64;              ///< numbers in one series of measured values
 constexpr std::uint32_t depth = 8;                ///< nesting depth of tables
 constexpr std::uint32_t tables = 8192;            ///< tables in one message
 
--- a/include/endivelever/wire/messages.hpp
+++ b/include/endivelever/wire/messages.hpp
@@ -83,15 +83,6 @@
     std::vector<server_id> draining;   ///< servers that reported that they are draining
 };
 
-/// Response times of a service's servers at their usual speed, as one VM or several observed them.
-struct service_times_message {
-    service_id service;
-    /// By the share of busy slots, see occupancy_ranges: mean logarithm of the response time in seconds, and
-    /// the number of responses that it is based on.
-    std::vector<float> log_seconds;
-    std::vector<float> weights;
-};
-
 /// Status datagram that each gateway VM sends to its peers.
 struct gateway_status_message {
     vm_id vm;
@@ -112,8 +103,6 @@
     std::vector<std::string> other_addresses;  ///< some serving VMs of other failure domains
     bool store_heard = false;   ///< the store answers this head, or any head from which it receives status
     std::uint32_t capacity = 0; ///< processor share in hundredths of a core
-    /// From a head: over the VMs of its failure domain; otherwise as this VM observed them.
-    std::vector<service_times_message> service_times;
 };
 
 using message = std::variant<hello_message, heartbeat_message, document_message, member_table_message,
--- a/src/decide/probe_choice.cpp
+++ b/src/decide/probe_choice.cpp
@@ -8,8 +8,10 @@
 
 using namespace std::chrono_literals;
 
-// Lets a VM try unknown servers if the few that it knows are busy.
-constexpr double assumed_light_servers = 8.0;
+// Server speeds change about every 300 ms, so a report loses half of its weight in half of that time.
+constexpr double report_half_life_ms = 150.0;
+// Mean slowdown over all servers, assumed for a server without a recent report.
+constexpr double mean_slowdown = 1.75;
 // A server that did not answer a probe is ranked last for this time.
 constexpr duration unresponsive_period = 500ms;
 constexpr double unresponsive_factor = 20.0;
@@ -26,12 +28,6 @@
 // Keeps VMs with the same information from probing the same servers.
 constexpr double cost_jitter = 0.3;
 
-// At equilibrium one report above the limit balances two with a free slot.
-constexpr double overfull_pacing_factor = 1.5;
-constexpr double free_slot_pacing_factor = 0.8;
-constexpr duration min_review_interval = 10ms;
-constexpr duration max_review_interval = 200ms;
-
 // Leaves a margin for VMs that restarted or do not know of each other yet: they exceed their share for a
 // while.
 constexpr double used_probe_share = 0.75;
@@ -40,33 +36,26 @@
 constexpr duration max_probe_burst = 15s;
 constexpr duration initial_credit = 1s;
 
-/// Response time relative to a light load according to the last report.
-double reported_factor(const server_pool& pool, const server_view& view) {
-    return to_seconds(predicted_time(pool.model, view.last_report, view.slots)) /
-           to_seconds(light_time(pool.model));
-}
+// Up to this slowdown a server counts as running at its usual speed.
+constexpr double max_usual_slowdown = 1.3;
 
-/// Mean over all servers that have reported and some more that are assumed to be lightly loaded.
-double mean_reported_factor(const server_pool& pool) {
-    double sum = assumed_light_servers;
-    double n = assumed_light_servers;
-    for (const auto& it : pool.servers) {
-        if (it.reported_at != time_point{}) {
-            sum += reported_factor(pool, it);
-            n += 1.0;
-        }
-    }
-    return sum / n;
+double load_factor(const load_report& report, std::uint32_t slots) {
+    const double calls = static_cast<double>(report.running) + report.queued + 1.0;
+    const double share = calls / std::max(1U, slots);
+    const double full = share > nearly_full_share ? nearly_full_factor : 1.0;
+    return full * std::max(1.0, share);
 }
 
-/// Response time relative to a light load. As the report of the server ages, it converges to the mean of all.
-double expected_factor(const server_pool& pool, const server_view& view, double mean, time_point now) {
+/// Slowdown and load from the last report; converges to the mean slowdown as the report ages.
+double reported_factor(const server_view& view, time_point now) {
     if (view.reported_at == time_point{}) {
-        return mean;
+        return mean_slowdown;
     }
-    const double half_life = to_seconds(speed_lifetime(pool.model)) / 2.0;
-    const double weight = half_life / (half_life + std::max(0.0, to_seconds(now - view.reported_at)));
-    return weight * reported_factor(pool, view) + (1.0 - weight) * mean;
+    const double age = to_milliseconds(now - view.reported_at);
+    const double weight = report_half_life_ms / (report_half_life_ms + std::max(0.0, age));
+    const double speed = view.last_report.slowdown > 0.0 ? view.last_report.slowdown : 1.0;
+    const double reported = speed * load_factor(view.last_report, view.slots);
+    return weight * reported + (1.0 - weight) * mean_slowdown;
 }
 
 /// Penalty for failures, unanswered probes and states other than serving.
@@ -100,6 +89,12 @@
 
 } // namespace
 
+duration predicted_time(const load_report& report, std::uint32_t slots, duration usual_time) {
+    const double speed = report.slowdown > 0.0 ? report.slowdown : 1.0;
+    const double factor = speed * load_factor(report, slots);
+    return duration(static_cast<duration::rep>(static_cast<double>(usual_time.count()) * factor));
+}
+
 load_report adjusted_report(const server_view& view) {
     auto report = view.last_report;
     const auto own = static_cast<std::uint32_t>(view.in_flight.size());
@@ -107,11 +102,18 @@
     return report;
 }
 
+bool has_room(const load_report& report, std::uint32_t slots) {
+    return report.running + report.queued < slots;
+}
+
+bool is_uncontended(const load_report& report, std::uint32_t slots) {
+    return report.slowdown <= max_usual_slowdown && load_factor(report, slots) <= 1.0;
+}
+
 std::vector<server_index> pick_candidates(const server_pool& pool, const std::vector<server_id>& excluded,
                                           std::size_t n, bool prefer_own_domain, time_point now,
                                           random_source& random) {
     std::vector<std::pair<double, server_index>> ranked;
-    const double mean = mean_reported_factor(pool);
     for (server_index i = 0; i < pool.servers.size(); ++i) {
         const auto& view = pool.servers[i];
         const bool is_probe_pending =
@@ -120,7 +122,7 @@
             contains(excluded, view.listed.id)) {
             continue;
         }
-        const double cost = expected_factor(pool, view, mean, now) * state_factor(view, now) *
+        const double cost = reported_factor(view, now) * state_factor(view, now) *
                             domain_factor(pool, view, prefer_own_domain) *
                             (view.in_subset ? 1.0 : outside_subset_factor) *
                             (1.0 + cost_jitter * random_unit(random));
@@ -152,24 +154,6 @@
     return taken;
 }
 
-void adapt_pacing(review_pacing& pacing, const load_report& report, std::uint32_t limit) {
-    const auto running = report.running + report.queued;
-    if (running == limit) {
-        return;
-    }
-    const double factor = running > limit ? overfull_pacing_factor : free_slot_pacing_factor;
-    const double interval = to_milliseconds(pacing.interval) * factor;
-    pacing.interval = std::clamp(from_milliseconds(interval), min_review_interval, max_review_interval);
-}
-
-bool take_review_probe(review_pacing& pacing, time_point now) {
-    if (now - pacing.last_probe < pacing.interval) {
-        return false;
-    }
-    pacing.last_probe = now;
-    return true;
-}
-
 void note_probe_timeout(server_view& view, time_point now) {
     view.probe_timed_out_at = now;
 }
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -68,10 +68,6 @@
         note_end(service.pool, *view, attempt.started, now, end, attempt.report);
         if (end == attempt_end::answered) {
             record(service.response_time, now - attempt.started);
-            if (attempt.load_age_at_dispatch <= fresh_report_age(service.pool.model)) {
-                learn_response(service.pool.model, attempt.load_at_dispatch, view->slots,
-                               now - attempt.started);
-            }
             service.reports_load = attempt.report.has_value();
             remove_waiting(service.waiting, it.number);
         }
--- a/src/gateway/intake.cpp
+++ b/src/gateway/intake.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned status_unavailable = 503;
 // Sent until the first configuration is loaded, which takes a few calls to the store.
 constexpr duration startup_retry_after = 300ms;
+// Precision of the deadlines that callers send; smaller differences do not indicate a retry.
+constexpr duration deadline_precision = 10ms;
 constexpr std::size_t max_tracked_routes = 20'000;
 // Longer deadlines are clamped: every configuration ends requests earlier.
 constexpr std::int64_t max_deadline_ms = 600'000;
@@ -40,15 +42,20 @@
     it.deadline = it.arrived + std::min(deadline.value_or(timeout), timeout);
 }
 
+/// Estimates the time that the caller spent in earlier attempts: a retry carries only the remainder of the
+/// deadline, so the difference to the longest deadline of the route is taken as spent.
 void estimate_prior_attempt_time(gateway_board& board, gateway_request& it,
                                  std::optional<duration> deadline) {
-    if (!deadline || *deadline <= duration::zero()) {
+    if (!deadline) {
         return;
     }
-    if (board.deadlines.size() > max_tracked_routes) {
-        board.deadlines.clear();
+    if (board.longest_deadline.size() > max_tracked_routes) {
+        board.longest_deadline.clear();
     }
-    it.prior_attempt_time = estimate_prior_time(board.deadlines[it.matched_route->id], *deadline);
+    auto& longest = board.longest_deadline[it.matched_route->id];
+    longest = std::max(longest, *deadline);
+    const auto spent = longest - *deadline;
+    it.prior_attempt_time = spent > deadline_precision ? spent : duration::zero();
 }
 
 gateway_request& add_request(gateway_board& board, http_exchange& exchange) {
--- a/src/gateway/maintenance.cpp
+++ b/src/gateway/maintenance.cpp
@@ -2,17 +2,14 @@
 #include "endivelever/gateway/controllers.hpp"
 
 #include <algorithm>
-#include <cmath>
-#include <string>
 
 namespace endivelever {
 namespace {
 
 constexpr unsigned status_gateway_timeout = 504;
 constexpr double median = 0.5;
-// Models change slowly, and computing a median takes a pass over the histogram.
-constexpr duration model_interval = std::chrono::milliseconds(250);
-constexpr duration model_log_interval = std::chrono::seconds(5);
+// The median changes slowly, and computing it takes a pass over the histogram.
+constexpr duration median_interval = std::chrono::milliseconds(500);
 // The first responses after startup belong to the shortest requests and would give too low a median.
 constexpr std::uint64_t min_responses_for_median = 8;
 
@@ -48,37 +45,8 @@
     }
 }
 
-/// Response times by occupancy in milliseconds, separated by spaces.
-std::string times_text(const service_model& model) {
-    std::string text;
-    for (const auto& it : model.fitted_time) {
-        text += (text.empty() ? "" : " ") + std::to_string(std::lround(to_milliseconds(it)));
-    }
-    return text;
-}
-
-void log_model(gateway_board& board, const service_id& id, const server_pool& pool) {
-    const auto slots = pool.servers.empty() ? 1 : pool.servers.front().slots;
-    write_event(board.log, "service_model",
-                {{"service", id.text},
-                 {"times_ms", times_text(pool.model)},
-                 {"operating_limit", static_cast<std::int64_t>(operating_limit(pool.model, slots))},
-                 {"slots", static_cast<std::int64_t>(slots)},
-                 {"margin", response_margin(pool.model)},
-                 {"mean_slowdown", pool.model.slowdown.value},
-                 {"speed_lifetime_ms", to_milliseconds(speed_lifetime(pool.model))}});
-}
-
-void update_models(gateway_board& board, time_point now) {
-    const bool log = now - board.models_logged_at >= model_log_interval;
-    if (log) {
-        board.models_logged_at = now;
-    }
+void update_medians(gateway_board& board) {
     for (auto& it : board.services) {
-        refit(it.second.pool.model);
-        if (log) {
-            log_model(board, it.first, it.second.pool);
-        }
         if (it.second.response_time.total >= min_responses_for_median) {
             it.second.median_response_time = value_at(it.second.response_time, median);
         }
@@ -104,9 +72,9 @@
     for (auto& it : board.services) {
         process_wait_queue(board, it.second, now);
     }
-    if (now - board.models_updated_at >= model_interval) {
-        board.models_updated_at = now;
-        update_models(board, now);
+    if (now - board.medians_updated_at >= median_interval) {
+        board.medians_updated_at = now;
+        update_medians(board);
     }
 }
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -74,7 +74,6 @@
     status.servers_revision = board.servers_revision.value;
     status.capacity = board.peers.own.capacity;
     status.is_head = board.duties.is_head;
-    status.service_times = share_models(board, boot_clock::now());
     if (status.is_head) {
         status.store_answers = board.duties.watches && !board.registry.store_unavailable;
         status.store_heard =
@@ -199,7 +198,6 @@
             board.peers.head_heard_at = now;
         } else {
             apply_head_status(board.peers, *status, now);
-            apply_shared_models(board, *status);
         }
     }
     pull_if_newer(board, *status);
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -13,17 +13,23 @@
 // Longer than a request waits for probe responses: a late response still updates the view of its server.
 constexpr duration probe_timeout = 300ms;
 constexpr byte_count max_probe_response_size{4096};
+// Used for a service without enough responses for a median whose routes have no latency target.
+constexpr duration fallback_response_time = 50ms;
 // If no server of a service has answered a probe for this long, servers are chosen by the load reports of
 // earlier responses.
 constexpr duration probe_silence_limit = 40ms;
+// A load report of this age still matches the current speed of a server in nine of ten cases.
+constexpr duration recent_report_age = 25ms;
+// A load report of this age makes a probe unnecessary.
+constexpr duration fresh_report_age = 10ms;
 constexpr duration min_retry_after = 100ms;
 
 duration expected_response_time(const gateway_service& service) {
-    return light_time(service.pool.model);
-}
-
-response_estimate response_estimate_of(const gateway_service& service) {
-    return {light_time(service.pool.model), response_margin(service.pool.model)};
+    if (service.median_response_time > duration::zero()) {
+        return service.median_response_time;
+    }
+    return service.default_response_time > duration::zero() ? service.default_response_time
+                                                            : fallback_response_time;
 }
 
 const routed_service* find_service_config(const gateway_board& board, const service_id& id) {
@@ -40,19 +46,16 @@
     const auto present = adjusted_report(view);
     offer.usable = !is_draining(view) && view.state != server_state::ejected &&
                    view.in_flight.size() < view.connection_share;
-    offer.has_free_slot = has_room(service.pool.model, present, view.slots);
-    offer.has_spare_capacity = is_uncontended(service.pool.model, present, view.slots);
-    offer.predicted_latency = predicted_time(service.pool.model, present, view.slots);
+    offer.has_free_slot = has_room(present, view.slots);
+    offer.has_spare_capacity = is_uncontended(present, view.slots);
+    offer.predicted_latency = predicted_time(present, view.slots, expected_response_time(service));
     return offer;
 }
 
 /// Sends the request at `position` of the wait queue to a server.
 void dispatch_waiting(gateway_board& board, gateway_service& service, std::size_t position,
                       server_view& view) {
-    const auto& entry = service.waiting[position];
-    const auto number = entry.request;
-    const auto now = boot_clock::now();
-    note_queue_dispatch(service.paces, can_meet_target(entry, expected_response_time(service), now), now);
+    const auto number = service.waiting[position].request;
     service.waiting.erase(service.waiting.begin() + static_cast<std::ptrdiff_t>(position));
     const auto found = board.requests.find(number);
     if (found != board.requests.end() && found->second->exchange != nullptr) {
@@ -80,7 +83,7 @@
     }
     if (it.probes_pending == 0 && !it.probing_done) {
         it.probing_done = true;
-        offer_recently_reported(board, service, recent_report_age(service.pool.model), boot_clock::now());
+        offer_recently_reported(board, service, recent_report_age, boot_clock::now());
     }
 }
 
@@ -103,10 +106,8 @@
         return;
     }
     const auto now = boot_clock::now();
-    learn_speed(service.pool.model, *facts.report, view.last_report, now - view.reported_at);
-    adapt_pacing(service.pacing, *facts.report, operating_limit(service.pool.model, view.slots));
     note_report(view, *facts.report, now);
-    service.probe_unanswered_since = {};
+    service.last_probe_report_at = now;
     assign_waiting_requests(board, service, view);
 }
 
@@ -148,9 +149,6 @@
         return;
     }
     const auto now = boot_clock::now();
-    if (service.probe_unanswered_since == time_point{}) {
-        service.probe_unanswered_since = now; // also if the budget allows no probe
-    }
     const auto n = take_probes(board.probes, wanted);
     for (const auto index :
          pick_candidates(service.pool, it.tried, n, it.prefers_local_domain, now, board.random)) {
@@ -186,33 +184,18 @@
     }
 }
 
-/// Refuses first attempts that still wait for a server.
-void refuse_requests(gateway_board& board, gateway_service& service,
-                     const std::vector<request_number>& numbers, const char* reason) {
-    const auto retry_after = expected_response_time(service);
-    for (const auto number : numbers) {
+/// Refuses requests that can no longer meet their latency target while others that still can are waiting.
+void refuse_overdue(gateway_board& board, gateway_service& service, time_point now) {
+    const auto expected = expected_response_time(service);
+    for (const auto number : requests_to_refuse(service.waiting, expected, now)) {
         remove_waiting(service.waiting, number);
         const auto found = board.requests.find(number);
         if (found != board.requests.end()) {
-            fail_unassigned(board, *found->second, attempt_purpose::first, reason, retry_after);
+            fail_unassigned(board, *found->second, attempt_purpose::first, "servers are full", expected);
         }
     }
 }
 
-/// Refuses requests that would probably miss their latency target while others can still meet it.
-void refuse_overdue(gateway_board& board, gateway_service& service, time_point now) {
-    const auto needed = likely_time(response_estimate_of(service));
-    refuse_requests(board, service, requests_to_refuse(service.waiting, needed, now), "servers are full");
-}
-
-/// Refuses requests whose turn will come too late because of the requests ahead of them.
-void refuse_excess(gateway_board& board, gateway_service& service, time_point now) {
-    const auto expected = response_estimate_of(service);
-    update_paces(service.paces, service.waiting, expected.light_load, now);
-    refuse_requests(board, service, select_refusals(service.waiting, service.paces, expected, now),
-                    "too many requests wait");
-}
-
 /// Refuses requests that no server can answer before their final response is due.
 void refuse_unservable(gateway_board& board, gateway_service& service, time_point now) {
     const auto expected = expected_response_time(service);
@@ -248,8 +231,7 @@
 
 /// Sends waiting requests by the load reports of earlier responses if no server answers probes.
 void dispatch_unanswered(gateway_board& board, gateway_service& service, time_point now) {
-    const bool no_reports = service.probe_unanswered_since != time_point{} &&
-                            now - service.probe_unanswered_since > probe_silence_limit;
+    const bool no_reports = now - service.last_probe_report_at > probe_silence_limit;
     for (std::size_t i = service.waiting.size(); no_reports && i > 0; --i) {
         if (i > service.waiting.size()) {
             continue; // a request that ended also removed its second entry (a retry or hedge)
@@ -298,17 +280,12 @@
         entry.tried.push_back(attempt->server);
     }
     service.waiting.push_back(entry);
-    // May refuse this request as well, which ends it.
-    refuse_excess(board, service, entry.queued_at);
-    if (find_waiting(service, entry.request, purpose) == nullptr) {
-        return;
-    }
     if (service.reports_load && service.waiting.front().probing_done) {
         // No probes for this request: requests that already wait get the next server with a free slot.
         service.waiting.back().probing_done = true;
     } else if (service.reports_load) {
-        offer_recently_reported(board, service, fresh_report_age(service.pool.model), entry.queued_at);
-        if (auto* waiting = find_waiting(service, entry.request, purpose)) {
+        offer_recently_reported(board, service, fresh_report_age, entry.queued_at);
+        if (auto* waiting = find_waiting(service, it.number, purpose)) {
             probe_servers(board, service, *waiting, initial_probes);
         }
     } else if (purpose != attempt_purpose::hedge) {
@@ -321,7 +298,7 @@
 void assign_waiting_requests(gateway_board& board, gateway_service& service, server_view& view) {
     while (!service.waiting.empty()) {
         const auto position = select_request(service.waiting, make_offer(service, view),
-                                             response_estimate_of(service), boot_clock::now());
+                                             expected_response_time(service), boot_clock::now());
         if (!position) {
             return;
         }
@@ -335,13 +312,11 @@
         return;
     }
     refuse_unservable(board, service, now);
-    refuse_excess(board, service, now);
     refuse_overdue(board, service, now);
-    offer_recently_reported(board, service, recent_report_age(service.pool.model), now);
+    offer_recently_reported(board, service, recent_report_age, now);
     dispatch_unanswered(board, service, now);
     expire_probes(board, service, now);
-    if (!service.waiting.empty() && service.waiting.front().probing_done &&
-        take_review_probe(service.pacing, now)) {
+    if (!service.waiting.empty() && service.waiting.front().probing_done) {
         probe_servers(board, service, service.waiting.front(), probes_per_review);
     }
 }
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -132,7 +132,7 @@
     }
     const auto vms = board.peers.fleet_size;
     update_servers(pool, listed, {}, vms, now);
-    assume_time(pool.model, assumed_time(board.routes->config, conf.id));
+    service.default_response_time = assumed_time(board.routes->config, conf.id);
     if (board.peers.loaded) {
         const bool is_new = service.retries.max_tokens == 0.0;
         service.retries.max_tokens = vm_retry_limit(board.conf.retry_allowance,
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -4,9 +4,7 @@
 
 #include "generated/messages_generated.h"
 
-#include <algorithm>
 #include <array>
-#include <cmath>
 
 namespace endivelever {
 namespace {
@@ -87,13 +85,6 @@
         .Union();
 }
 
-Offset<fb::ServiceTimes> pack(FlatBufferBuilder& out, const service_times_message& value) {
-    const auto service = out.CreateString(value.service.text);
-    const auto log_seconds = out.CreateVector(value.log_seconds);
-    const auto weights = out.CreateVector(value.weights);
-    return fb::CreateServiceTimes(out, service, log_seconds, weights);
-}
-
 Offset<void> pack_body(FlatBufferBuilder& out, const gateway_status_message& value) {
     const auto vm = out.CreateString(value.vm.text);
     const auto domain = out.CreateString(value.failure_domain.text);
@@ -102,16 +93,10 @@
     const auto relay = out.CreateString(value.relay_address);
     const auto near = out.CreateVectorOfStrings(value.domain_addresses);
     const auto far = out.CreateVectorOfStrings(value.other_addresses);
-    std::vector<Offset<fb::ServiceTimes>> times;
-    times.reserve(value.service_times.size());
-    for (const auto& it : value.service_times) {
-        times.push_back(pack(out, it));
-    }
-    const auto service_times = out.CreateVector(times);
     return fb::CreateGatewayStatus(out, vm, value.life.value, value.sequence, to_fb(value.state), domain,
                                    caller, peer, relay, value.routing_version, value.servers_revision,
                                    value.is_head, value.store_answers, value.fleet_size, near, far,
-                                   value.store_heard, value.capacity, service_times)
+                                   value.store_heard, value.capacity)
         .Union();
 }
 
@@ -145,16 +130,6 @@
         return text(value, wire_limits::name_bytes, "name or address");
     }
 
-    std::vector<float> measures(const flatbuffers::Vector<float>* values) {
-        if (!check_limit(values->size(), wire_limits::measures, "measures")) {
-            return {};
-        }
-        if (!std::all_of(values->begin(), values->end(), [](float it) { return std::isfinite(it); })) {
-            invalid_field = invalid_field == nullptr ? "measures" : invalid_field;
-        }
-        return {values->begin(), values->end()};
-    }
-
     std::vector<std::uint32_t> numbers(const flatbuffers::Vector<std::uint32_t>* values) {
         if (values == nullptr || !check_limit(values->size(), wire_limits::kinds, "demand")) {
             return {};
@@ -204,11 +179,6 @@
             in.numbers(value->demand())};
 }
 
-service_times_message unpack(field_reader& in, const fb::ServiceTimes* value) {
-    return {service_id(in.name(value->service())), in.measures(value->log_seconds()),
-            in.measures(value->weights())};
-}
-
 message unpack(field_reader& in, const fb::Hello* value) {
     if (value->role() > fb::Role::MAX) {
         in.check_limit(1, 0, "role");
@@ -275,9 +245,7 @@
         in.list(value->domain_addresses(), wire_limits::members, "domain addresses", address),
         in.list(value->other_addresses(), wire_limits::members, "other addresses", address),
         value->store_heard(),
-        value->capacity(),
-        in.list(value->service_times(), wire_limits::status_services, "service times",
-                [&in](const fb::ServiceTimes* it) { return unpack(in, it); })};
+        value->capacity()};
 }
 
 result<message> unpack(field_reader& in, const fb::Envelope* value) {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -36,7 +36,7 @@
 }
 
 request_number chosen(const wait_queue& queue, const server_offer& it) {
-    const auto position = select_request(queue, it, {usual_time, 1.0}, start);
+    const auto position = select_request(queue, it, usual_time, start);
     return position ? queue[*position].request : 0;
 }
 
@@ -68,53 +68,6 @@
     EXPECT_TRUE(requests_to_refuse({waiting(1, 300ms), waiting(2, 400ms)}, usual_time, start).empty());
 }
 
-queue_paces paces(duration in_time, duration late) {
-    queue_paces it;
-    it.in_time = {in_time, start};
-    it.late = {late, start};
-    return it;
-}
-
-// Guards against admitting requests whose turn comes when it is too late for their target, while those ahead
-// of them and those of callers that were refused before stay.
-TEST(wait_queue, requests_behind_a_slow_queue_are_refused_at_once) {
-    auto repeated = waiting(4);
-    repeated.prior_attempts_time = 10ms;
-    const wait_queue queue{waiting(1, 3ms), waiting(2, 2ms), waiting(3, 1ms), repeated};
-    const auto refused = select_refusals(queue, paces(100ms, 0ms), {usual_time, 1.2}, start);
-    EXPECT_EQ((std::vector<request_number>{2, 3}), refused);
-    EXPECT_TRUE(select_refusals(queue, paces(20ms, 0ms), {usual_time, 1.2}, start).empty());
-}
-
-// Guards against holding requests that missed their target until their deadline although those ahead of them
-// take all servers.
-TEST(wait_queue, late_requests_without_a_turn_before_their_deadline_are_refused_at_once) {
-    const wait_queue queue{waiting(1, 260ms), waiting(2, 250ms), waiting(3, 240ms)};
-    const auto refused = select_refusals(queue, paces(0ms, 600ms), {usual_time, 1.2}, start);
-    EXPECT_EQ((std::vector<request_number>{2, 3}), refused);
-}
-
-// Guards against refusals of requests that arrive together while servers have free slots.
-TEST(wait_queue, nothing_is_refused_before_the_servers_were_found_full) {
-    wait_queue queue{waiting(1), waiting(2), waiting(3)};
-    for (auto& it : queue) {
-        it.probing_done = false;
-    }
-    EXPECT_TRUE(select_refusals(queue, paces(1s, 0ms), {usual_time, 1.2}, start).empty());
-}
-
-// Guards against a pace that counts the time in which no request was waiting.
-TEST(wait_queue, pace_is_measured_while_requests_wait) {
-    queue_paces measured;
-    const wait_queue queue{waiting(1)};
-    update_paces(measured, queue, usual_time, start);
-    note_queue_dispatch(measured, true, start + 40ms);
-    EXPECT_EQ(10ms, measured.in_time.interval);
-    update_paces(measured, {}, usual_time, start + 50ms);
-    note_queue_dispatch(measured, true, start + 10s);
-    EXPECT_EQ(10ms, measured.in_time.interval);
-}
-
 struct offer_case {
     const char* name;
     duration age;
@@ -201,22 +154,6 @@
     EXPECT_EQ(1U, picked.back());
 }
 
-// Guards against VMs that find the same free slot at the same time and overfill its server together.
-TEST(probe_choice, review_probes_become_rare_while_servers_are_overfull) {
-    review_pacing pacing;
-    ASSERT_TRUE(take_review_probe(pacing, start));
-    EXPECT_TRUE(take_review_probe(pacing, start + 10ms));
-    for (int i = 0; i < 20; ++i) {
-        adapt_pacing(pacing, report(5, 1.0), 4);
-    }
-    EXPECT_FALSE(take_review_probe(pacing, start + 150ms));
-    EXPECT_TRUE(take_review_probe(pacing, start + 210ms));
-    for (int i = 0; i < 20; ++i) {
-        adapt_pacing(pacing, report(3, 1.0), 4);
-    }
-    EXPECT_TRUE(take_review_probe(pacing, start + 220ms));
-}
-
 // Guards against large responses that cross failure domains although servers of the own domain are available.
 TEST(probe_choice, large_responses_stay_in_the_own_domain) {
     const auto pool = pool_of(6);
@@ -351,7 +288,7 @@
                     auto& view = pool.servers[candidate];
                     probed.push_back(view.listed.id);
                     note_report(view, report(0, model.slowdown[candidate]), now);
-                    if (!found && is_uncontended(pool.model, view.last_report, view.slots)) {
+                    if (!found && is_uncontended(view.last_report, view.slots)) {
                         index = candidate;
                         found = true;
                     }
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -136,16 +136,6 @@
             {100, 0, 4'000'000'000U}};
 }
 
-gateway_status_message sample_status() {
-    gateway_status_message status;
-    status.vm = vm_id("vm-02");
-    status.failure_domain = failure_domain("kr-a");
-    status.is_head = true;
-    status.domain_addresses = {"127.0.0.1:7"};
-    status.service_times = {{service_id("orders"), {-2.5F, -2.0F}, {12.0F, 0.0F}}};
-    return status;
-}
-
 std::vector<message> sample_messages() {
     return {hello_message{vm_id("vm-01"), process_role::entry, incarnation{3}, failure_domain("kr-b"),
                           "127.0.0.1:4", "127.0.0.1:5", "127.0.0.1:6"},
@@ -159,8 +149,7 @@
                                  member_state::live,
                                  17,
                                  {1, 2},
-                                 {server_id("order-4"), server_id("order-5")}},
-            sample_status()};
+                                 {server_id("order-4"), server_id("order-5")}}};
 }
 
 // Guards against fields that are dropped, swapped or truncated: encoding the decoded message must give the
