--- a/include/endivelever/decide/peer_table.hpp
+++ b/include/endivelever/decide/peer_table.hpp
@@ -83,10 +83,22 @@
 /// watchers_per_fleet.
 std::vector<vm_id> find_watchers(peer_table& table, time_point now);
 
+/// Why a VM reads the object store itself.
+enum class watch_reason {
+    none,             ///< it does not
+    rank,             ///< one of the watchers of the fleet
+    no_head_heard,    ///< no head of its failure domain sends a status
+    store_unreachable ///< no head that it hears reaches the store
+};
+
+/// @return the name of a reason, for logs
+const char* to_string(watch_reason reason);
+
 /// Coordination tasks that this VM currently has.
 struct peer_duties {
     bool is_head = false; ///< collects and distributes the status of its failure domain
     bool watches = false; ///< reads the object store itself
+    watch_reason reason = watch_reason::none;
 };
 
 /// True if a recent status of another head reports that the store answers. A VM that watches the store
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -68,7 +68,9 @@
 /// Checks, on a VM that watches the store, whether the store still responds. A pending watch does not show
 /// that its connection is dead.
 void check_store(gateway_board& board, time_point now);
-void apply_routing(gateway_board& board, const stored_object& object, object_revision revision);
+/// @param source  where the configuration was read, for the log: "list", "watch", "start" or the VM's address
+void apply_routing(gateway_board& board, const stored_object& object, object_revision revision,
+                   std::string_view source);
 void apply_server_list(gateway_board& board, const std::vector<stored_object>& objects, object_revision at);
 void apply_server_changes(gateway_board& board, const std::vector<object_change>& changes,
                           object_revision at);
--- a/src/decide/peer_table.cpp
+++ b/src/decide/peer_table.cpp
@@ -185,6 +185,20 @@
     });
 }
 
+const char* to_string(watch_reason reason) {
+    switch (reason) {
+    case watch_reason::rank:
+        return "rank";
+    case watch_reason::no_head_heard:
+        return "no_head_heard";
+    case watch_reason::store_unreachable:
+        return "store_unreachable";
+    case watch_reason::none:
+        break;
+    }
+    return "none";
+}
+
 peer_duties find_duties(peer_table& table, time_point store_unreachable_since, time_point now) {
     const auto is_own = [&table](const vm_id& it) { return it == table.own.vm; };
     const auto heads = find_heads(table, table.own.failure_domain, now);
@@ -199,16 +213,22 @@
             order.begin();
         takes_over = now - store_unreachable_since >= position * takeover_interval;
     }
-    bool watches = isolated || takes_over;
-    if (is_head && !watches) {
+    auto reason = watch_reason::none;
+    if (isolated) {
+        reason = watch_reason::no_head_heard;
+    } else if (takes_over) {
+        reason = watch_reason::store_unreachable;
+    } else if (is_head) {
         const auto watchers = find_watchers(table, now);
-        watches = std::any_of(watchers.begin(), watchers.end(), is_own);
+        const bool is_watcher = std::any_of(watchers.begin(), watchers.end(), is_own);
+        reason = is_watcher ? watch_reason::rank : watch_reason::none;
     }
+    const bool watches = reason != watch_reason::none;
     table.is_head = is_head;
     // VMs of the domain that send their status here consider this VM a head and expect an answer.
     const bool is_expected_as_head =
         table.member_heard_at != time_point{} && now - table.member_heard_at <= peer_timeout;
-    return {is_head || watches || is_expected_as_head, watches};
+    return {is_head || watches || is_expected_as_head, watches, reason};
 }
 
 bool is_serving(const peer& it, time_point now) {
--- a/src/gateway/peer_sync.cpp
+++ b/src/gateway/peer_sync.cpp
@@ -104,7 +104,7 @@
     }
 }
 
-void apply_servers_response(gateway_board& board, const json& body) {
+void apply_servers_response(gateway_board& board, const json& body, const std::string& /*source*/) {
     const object_revision revision{body.at("revision").get<std::uint64_t>()};
     if (revision <= board.servers_revision) {
         return;
@@ -123,15 +123,15 @@
     apply_server_list(board, objects, revision);
 }
 
-void apply_routing_response(gateway_board& board, const json& body) {
+void apply_routing_response(gateway_board& board, const json& body, const std::string& source) {
     stored_object object;
     object.name = board.dialect.routing_object;
     object.content = body.at("content");
-    apply_routing(board, object, object_revision{body.at("revision").get<std::uint64_t>()});
+    apply_routing(board, object, object_revision{body.at("revision").get<std::uint64_t>()}, source);
 }
 
 void pull(gateway_board& board, const std::string& address, std::string target, bool& in_progress,
-          void (*take)(gateway_board&, const json&)) {
+          void (*take)(gateway_board&, const json&, const std::string&)) {
     if (in_progress) {
         return;
     }
@@ -144,14 +144,19 @@
     request.connect_timeout = 500ms;
     count(board, "peer_pulls_total");
     fetch(*board.store_http_client, std::move(request), max_pull_response_size,
-          [&board, &in_progress, take](const http_reply& reply) {
+          [&board, &in_progress, take, address, started = boot_clock::now()](const http_reply& reply) {
               in_progress = false;
               if (reply.result.failure != transfer_failure::none || reply.result.status != status_ok) {
                   count(board, "peer_pull_failures_total");
+                  write_event(board.log, "peer_pull_failed",
+                              {{"peer", address},
+                               {"status", static_cast<std::int64_t>(reply.result.status)},
+                               {"cause", reply.result.detail},
+                               {"after_ms", to_milliseconds(boot_clock::now() - started)}});
                   return;
               }
               try {
-                  take(board, decompress_json(reply.body));
+                  take(board, decompress_json(reply.body), address);
               } catch (const json::exception& it) {
                   count(board, "peer_pull_failures_total");
                   write_event(board.log, "peer_answer_unreadable", {{"cause", std::string_view(it.what())}});
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -154,8 +154,10 @@
     const auto before = board.duties;
     board.duties = find_duties(board.peers, update_store_unreachable_since(board, now), now);
     if (before.watches != board.duties.watches) {
+        const auto reason = board.duties.watches ? board.duties.reason : before.reason;
         write_event(board.log, board.duties.watches ? "watch_taken_over" : "watch_handed_over",
-                    {{"servers_revision", static_cast<std::int64_t>(board.servers_revision.value)}});
+                    {{"reason", to_string(reason)},
+                     {"servers_revision", static_cast<std::int64_t>(board.servers_revision.value)}});
     }
     if (board.duties.is_head) {
         update_fleet_view(board, now);
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -71,7 +71,7 @@
     handlers.on_list = [&board, is_in_force](const std::vector<stored_object>& objects, object_revision at) {
         for (const auto& it : objects) {
             if (is_in_force(it)) {
-                apply_routing(board, it, at);
+                apply_routing(board, it, at, "list");
             }
         }
     };
@@ -79,7 +79,7 @@
                                                 object_revision at) {
         for (const auto& it : changes) {
             if (!it.removed && is_in_force(it.object)) {
-                apply_routing(board, it.object, at);
+                apply_routing(board, it.object, at, "watch");
             }
         }
     };
@@ -269,7 +269,8 @@
 
 } // namespace
 
-void apply_routing(gateway_board& board, const stored_object& object, object_revision revision) {
+void apply_routing(gateway_board& board, const stored_object& object, object_revision revision,
+                   std::string_view source) {
     auto config = board.dialect.read_routing(object.content);
     if (!config) {
         write_event(board.log, "routing_rejected",
@@ -287,6 +288,7 @@
     board.routes = make_route_table(std::move(*config));
     write_event(board.log, "routing_applied",
                 {{"version", static_cast<std::int64_t>(board.routes->config.version.value)},
+                 {"source", source},
                  {"replaces", static_cast<std::int64_t>(old_version)},
                  {"routes", static_cast<std::int64_t>(board.routes->config.routes.size())},
                  {"revision", static_cast<std::int64_t>(revision.value)}});
@@ -383,7 +385,7 @@
     const auto on_routing = [&board](const std::vector<stored_object>& objects, object_revision at) {
         for (const auto& it : objects) {
             if (it.name == board.dialect.routing_object) {
-                apply_routing(board, it, at);
+                apply_routing(board, it, at, "start");
             }
         }
     };
@@ -430,6 +432,7 @@
             board.store_check_failed = true;
             const auto cause = reply.result.detail.empty() ? "status " + std::to_string(reply.result.status)
                                                            : reply.result.detail;
+            write_event(board.log, "store_check_failed", {{"cause", cause}});
             note_store_failure(board, board.dialect.vm_kind, cause);
             send_status(board, true); // lets other heads take over the watch
         },
