Show by test that a change is late although its sources are heard

Cause: a VM holds what it knows for current as long as the sources that it hears seem alive. The tests disturb the channel that carries the change and leave the one by which the source is judged: watches that hear nothing while the check of the store is answered, pulls between VMs that hang while datagrams arrive, and all open connections silent at once while new ones work.

Change: a table of disturbances on four VMs; the limit is the platform's two seconds. The forwarder reaches any loopback address.

--- a/bench/testbed/forwarder.cpp
+++ b/bench/testbed/forwarder.cpp
@@ -69,9 +69,8 @@
 }
 
 /// @return connected non-blocking socket, or -1
-int connect_loopback(std::uint16_t port) {
+int connect_to(const sockaddr_in& address) {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const auto address = loopback(port);
     if (fd >= 0 && connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
         fcntl(fd, F_SETFL, O_NONBLOCK);
         return fd;
@@ -156,7 +155,7 @@
     int listen_fd = -1;  ///< -1 while connections are refused
     int wake_fd = -1;
     std::uint16_t port = 0;
-    std::uint16_t target_port = 0;
+    sockaddr_in target_address{};
     std::atomic<forward_mode> mode = forward_mode::pass;
     std::atomic<bool> silence = false;
     std::atomic<bool> stop = false;
@@ -222,7 +221,7 @@
     if (source < 0) {
         return;
     }
-    const int target = detail::connect_loopback(target_port);
+    const int target = detail::connect_to(target_address);
     if (target < 0) {
         detail::close_with_reset(source);
         return;
@@ -304,7 +303,10 @@
         return tl::unexpected<error>(to.error());
     }
     auto it = std::make_unique<state>();
-    it->target_port = to->port;
+    it->target_address = detail::loopback(to->port);
+    if (inet_pton(AF_INET, to->host.c_str(), &it->target_address.sin_addr) != 1) {
+        return fail("testbed", 20, "forwarder target is not an IPv4 address");
+    }
     it->reserve_fd = detail::bind_loopback(port);
     it->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     it->port = it->reserve_fd < 0 ? std::uint16_t{0} : detail::port_of(it->reserve_fd);
--- /dev/null
+++ b/tests/contract/gateway_freshness_test.cpp
@@ -0,0 +1,117 @@
+#include "contract/gateway_fixture.hpp"
+#include "testbed/forwarder.hpp"
+
+namespace endivelever::http_test {
+namespace {
+
+using testbed::forward_mode;
+using testbed::forwarder;
+
+/// The platform requires a change to be in force everywhere within this time.
+constexpr duration change_limit = 2s;
+constexpr std::size_t vm_count = 4;
+
+/// Four VMs of one failure domain, two of them heads. Calls to the store and pulls from the heads go through
+/// forwarders.
+struct freshness_fixture : gateway_fixture {
+    std::unique_ptr<forwarder> store_link;
+    std::vector<std::unique_ptr<forwarder>> relay_links;
+
+    gateway_process& add_linked_gateway(const std::string& vm) {
+        auto opened = gateway_process::open(loop.get(), make_settings(vm, store_link->address()),
+                                            platform::make_dialect(store_link->address()));
+        EXPECT_TRUE(opened) << (opened ? "" : opened.error().message);
+        gateways.push_back(std::move(*opened));
+        auto& board = gateways.back()->board();
+        board.log.fd = devnull;
+        relay_links.push_back(std::move(*forwarder::open(board.conf.relay_address)));
+        board.conf.relay_address = relay_links.back()->address();
+        return *gateways.back();
+    }
+
+    /// Starts all VMs and lets each of them pull configuration and servers at least once.
+    void start_fleet() {
+        store_link = std::move(*forwarder::open(store.address()));
+        put_config("00000001");
+        add_target("i-0");
+        for (std::size_t i = 0; i < vm_count; ++i) {
+            add_linked_gateway("vm-" + std::to_string(i));
+        }
+        ASSERT_TRUE(loop.run_until([&] {
+            return std::all_of(gateways.begin(), gateways.end(), [](const auto& it) {
+                return is_ready(it->board()) && it->board().peers.fleet_size == vm_count;
+            });
+        }));
+        put_config("00000002");
+        add_target("i-1");
+        ASSERT_TRUE(all_reach(2, 2, 30s));
+        loop.run_for(1s); // watches that returned these changes wait again
+    }
+
+    /// Bytes of connections that are open now are never delivered; new connections work.
+    void silence_relays() {
+        for (auto& link : relay_links) {
+            link->silence_open_connections();
+        }
+    }
+
+    /// No connection between VMs delivers anything; datagrams do.
+    void block_relays() {
+        for (auto& link : relay_links) {
+            link->set_mode(forward_mode::hold_both);
+        }
+    }
+
+    bool all_reach(std::uint64_t version, std::size_t servers, duration limit) {
+        return loop.run_until(
+            [&] {
+                return std::all_of(gateways.begin(), gateways.end(), [&](const auto& it) {
+                    return it->board().routes->config.version.value == version &&
+                           it->board().registry.entries.size() == servers;
+                });
+            },
+            limit);
+    }
+};
+
+struct freshness_case {
+    const char* name;
+    void (*disturb)(freshness_fixture&);
+};
+
+struct gateway_freshness : freshness_fixture, testing::WithParamInterface<freshness_case> {};
+
+// Guards against a VM that keeps an older configuration because a source that it still hears delivers
+// nothing.
+TEST_P(gateway_freshness, change_is_in_force_in_time) {
+    start_fleet();
+    GetParam().disturb(*this);
+    put_config("00000003");
+    add_target("i-2");
+    EXPECT_TRUE(all_reach(3, 3, change_limit));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    disturbances, gateway_freshness,
+    testing::Values(
+        freshness_case{"none", [](freshness_fixture&) {}},
+        freshness_case{"watches_hear_nothing", [](freshness_fixture& it) { it.store.mute_watches(); }},
+        freshness_case{"open_connections_to_the_store_fall_silent",
+                       [](freshness_fixture& it) { it.store_link->silence_open_connections(); }},
+        freshness_case{"open_connections_between_vms_fall_silent",
+                       [](freshness_fixture& it) { it.silence_relays(); }},
+        freshness_case{"all_open_connections_fall_silent",
+                       [](freshness_fixture& it) {
+                           it.store_link->silence_open_connections();
+                           it.silence_relays();
+                       }},
+        freshness_case{"pulls_between_vms_hang", [](freshness_fixture& it) { it.block_relays(); }},
+        freshness_case{"heads_are_killed",
+                       [](freshness_fixture& it) {
+                           std::erase_if(it.gateways,
+                                         [](const auto& vm) { return vm->board().duties.is_head; });
+                       }}),
+    [](const auto& it) { return it.param.name; });
+
+} // namespace
+} // namespace endivelever::http_test
--- a/tests/fakes/fake_object_store.hpp
+++ b/tests/fakes/fake_object_store.hpp
@@ -30,6 +30,8 @@
     void forget_history();
     /// Cuts the watches that wait.
     void cut_watches();
+    /// Leaves the watches that wait now without any response, while other calls are served.
+    void mute_watches() { m_waiting.clear(); }
 
     [[nodiscard]] socket_address address() const;
     [[nodiscard]] bool has(const std::string& kind, const std::string& name) const;
