Find changes that a watch has not delivered

Cause: a watch that waits may sit on a connection that delivers nothing any more. The check of the store read another object on another connection, so it passed while every later change of configuration or servers was missed until the watch timed out after 27 s. Callers got 404 for routes that had been added.

Change: the check asks for the changes after the watch's own revision, by a read at the lower price. Changes found are applied and the watch starts anew. After a first failed check the idle connections to the store are dropped and the next check follows at once on a new one.

--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -68,9 +68,8 @@
     bool registered = false;              ///< this VM's entry is in the store
     time_point vm_list_requested_at{};    ///< when the list of VMs was last requested
     bool initial_state_requested = false; ///< initial state was requested from the store after a restart
-    bool store_check_in_progress = false; ///< a check of whether the store responds is in progress
-    time_point last_store_check_at{};     ///< when the last such check began
-    bool store_check_failed = false;      ///< the last such check failed
+    time_point last_store_check_at{};     ///< when the last check of the watches began
+    bool store_check_failed = false;      ///< a check has failed since the last list
 
     nlohmann::json routing_content; ///< as stored, for peers
     std::string compressed_routing; ///< compressed response for peers; empty until a peer requests it
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -65,8 +65,8 @@
 /// Reads the list of registered VMs if that is due. Heads read it on every call, so that VMs that started at
 /// the same time, and know only VMs registered earlier, discover each other.
 void refresh_vm_list(gateway_board& board);
-/// Checks, on a VM that watches the store, whether the store still responds. A pending watch does not show
-/// that its connection is dead.
+/// Checks, on a VM that watches the store, whether the store still responds and whether the watches have
+/// missed a change.
 void check_store(gateway_board& board, time_point now);
 /// @param source  where the configuration was read, for the log: "list", "watch", "start" or the VM's address
 void apply_routing(gateway_board& board, const stored_object& object, object_revision revision,
--- a/include/endivelever/store/object_protocol.hpp
+++ b/include/endivelever/store/object_protocol.hpp
@@ -50,8 +50,9 @@
     std::function<http_request(const object_kind&, const std::string& after)> list;
     /// List that may be seconds old, at a lower cost to the store.
     std::function<http_request(const object_kind&, const std::string& after)> list_stale;
-    /// Read of one object that may be seconds old, at a lower cost to the store.
-    std::function<http_request(const object_kind&, const std::string& name)> get_stale;
+    /// Reads the changes after a revision without waiting for one. The response may be seconds old, at a
+    /// lower cost to the store.
+    std::function<http_request(const object_kind&, object_revision)> changes_stale;
     /// Waits for changes after a revision, for at most `wait`.
     std::function<http_request(const object_kind&, object_revision, duration wait)> watch;
     std::function<http_request(const object_kind&, const std::string& name, const nlohmann::json&)> create;
--- a/include/endivelever/store/object_reflector.hpp
+++ b/include/endivelever/store/object_reflector.hpp
@@ -36,6 +36,8 @@
         std::function<void(const std::vector<object_change>&, object_revision)> on_changes;
         std::function<void(const std::string& cause)> on_failure; ///< a call failed and will be retried
         std::function<void()> on_answer;                          ///< the store answered a call
+        std::function<void()> on_check_passed;
+        std::function<void(const std::string& cause)> on_check_failed;
     };
 
     /// @param access  must outlive the reflector
@@ -48,6 +50,11 @@
 
     /// Cancels the call in progress and lists again at once.
     void relist();
+    /// Asks the store for changes that the waiting watch has not reported. A watch that waits does not show
+    /// that its connection still delivers anything. Changes found are reported as if the watch had returned
+    /// them, and the watch starts anew. Does nothing while a list or a check is in progress.
+    /// @param timeout  the check fails if the store does not answer within this time
+    void check(duration timeout);
     [[nodiscard]] object_revision revision() const { return m_revision; }
 
   private:
@@ -55,6 +62,7 @@
     void watch();
     void handle_page(const http_reply& reply);
     void handle_changes(const http_reply& reply);
+    void handle_check(const http_reply& reply, object_revision since);
     void handle_failure(const std::string& cause);
     void send(http_request request, void (object_reflector::*on_reply)(const http_reply&));
 
@@ -63,6 +71,7 @@
     handlers m_callbacks;
     timer m_next_call;
     std::optional<transfer_id> m_call;
+    std::optional<transfer_id> m_check;
     std::vector<stored_object> m_partial_list;
     object_revision m_list_revision;
     object_revision m_revision;
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -63,8 +63,41 @@
                  {"source", source}});
 }
 
-object_reflector::handlers routing_handlers(gateway_board& board) {
+/// Lists again after a failed check: watches opened during the outage may never get a response.
+void handle_store_check_success(gateway_board& board) {
+    if (std::exchange(board.store_check_failed, false)) {
+        board.routing_reflector->relist();
+        board.server_reflector->relist();
+    }
+}
+
+void handle_store_check_failure(gateway_board& board, const object_kind& kind, const std::string& cause) {
+    write_event(board.log, "store_check_failed", {{"kind", kind.text}, {"cause", cause}});
+    if (!std::exchange(board.store_check_failed, true)) {
+        // Only the connection may have failed; the next check uses a new one and follows at once.
+        board.store_http_client->discard_idle(board.conf.store_address);
+        board.last_store_check_at = {};
+    }
+    note_store_failure(board, kind, cause);
+    send_status(board, true); // lets other heads take over the watch
+}
+
+/// Handlers that are the same for all kinds.
+object_reflector::handlers common_handlers(gateway_board& board, const object_kind& kind) {
     object_reflector::handlers handlers;
+    handlers.on_answer = [&board] { note_store_response(board); };
+    handlers.on_failure = [&board, kind](const std::string& cause) {
+        note_store_failure(board, kind, cause);
+    };
+    handlers.on_check_passed = [&board] { handle_store_check_success(board); };
+    handlers.on_check_failed = [&board, kind](const std::string& cause) {
+        handle_store_check_failure(board, kind, cause);
+    };
+    return handlers;
+}
+
+object_reflector::handlers routing_handlers(gateway_board& board) {
+    auto handlers = common_handlers(board, board.dialect.routing_kind);
     const auto is_in_force = [&board](const stored_object& it) {
         return it.name == board.dialect.routing_object;
     };
@@ -83,25 +116,17 @@
             }
         }
     };
-    handlers.on_answer = [&board] { note_store_response(board); };
-    handlers.on_failure = [&board](const std::string& cause) {
-        note_store_failure(board, board.dialect.routing_kind, cause);
-    };
     return handlers;
 }
 
 object_reflector::handlers server_handlers(gateway_board& board) {
-    object_reflector::handlers handlers;
+    auto handlers = common_handlers(board, board.dialect.server_kind);
     handlers.on_list = [&board](const std::vector<stored_object>& objects, object_revision at) {
         apply_server_list(board, objects, at);
     };
     handlers.on_changes = [&board](const std::vector<object_change>& changes, object_revision at) {
         apply_server_changes(board, changes, at);
     };
-    handlers.on_answer = [&board] { note_store_response(board); };
-    handlers.on_failure = [&board](const std::string& cause) {
-        note_store_failure(board, board.dialect.server_kind, cause);
-    };
     return handlers;
 }
 
@@ -258,15 +283,6 @@
     read_list(board, board.dialect.vm_kind, board.dialect.store.list_stale, take, [] {});
 }
 
-/// Lists again after a failed check: watches opened during the outage may never get a response.
-void handle_store_check_success(gateway_board& board) {
-    if (board.store_check_failed && board.routing_reflector != nullptr) {
-        board.routing_reflector->relist();
-        board.server_reflector->relist();
-    }
-    board.store_check_failed = false;
-}
-
 } // namespace
 
 void apply_routing(gateway_board& board, const stored_object& object, object_revision revision,
@@ -411,32 +427,12 @@
 }
 
 void check_store(gateway_board& board, time_point now) {
-    if (!board.duties.watches || board.store_check_in_progress ||
-        now - board.last_store_check_at < store_check_interval) {
+    if (board.routing_reflector == nullptr || now - board.last_store_check_at < store_check_interval) {
         return;
     }
     board.last_store_check_at = now;
-    board.store_check_in_progress = true;
-    auto request = board.dialect.store.get_stale(board.dialect.vm_kind, board.conf.vm.text);
-    send_store_request(
-        board, std::move(request),
-        [&board](const http_reply& reply) {
-            board.store_check_in_progress = false;
-            const bool answered =
-                reply.result.failure == transfer_failure::none &&
-                (reply.result.status == status_ok || reply.result.status == status_not_found);
-            if (answered) {
-                handle_store_check_success(board);
-                return;
-            }
-            board.store_check_failed = true;
-            const auto cause = reply.result.detail.empty() ? "status " + std::to_string(reply.result.status)
-                                                           : reply.result.detail;
-            write_event(board.log, "store_check_failed", {{"cause", cause}});
-            note_store_failure(board, board.dialect.vm_kind, cause);
-            send_status(board, true); // lets other heads take over the watch
-        },
-        store_check_timeout);
+    board.routing_reflector->check(store_check_timeout);
+    board.server_reflector->check(store_check_timeout);
 }
 
 void update_pools(gateway_board& board) {
--- a/src/store/object_reflector.cpp
+++ b/src/store/object_reflector.cpp
@@ -33,8 +33,10 @@
 }
 
 object_reflector::~object_reflector() {
-    if (m_call) {
-        m_access.client->cancel(*m_call);
+    for (const auto& it : {m_call, m_check}) {
+        if (it) {
+            m_access.client->cancel(*it);
+        }
     }
 }
 
@@ -48,6 +50,54 @@
     m_next_call.start(duration::zero());
 }
 
+void object_reflector::check(duration timeout) {
+    if (!m_has_list || m_check) {
+        return;
+    }
+    auto request = m_access.protocol.changes_stale(m_kind, m_revision);
+    request.timeout = timeout;
+    ++m_access.counts.calls;
+    m_check = fetch(*m_access.client, std::move(request), max_reply_size,
+                    [this, since = m_revision](const http_reply& reply) {
+                        m_check.reset();
+                        handle_check(reply, since);
+                    });
+}
+
+void object_reflector::handle_check(const http_reply& reply, object_revision since) {
+    if (reply.result.failure != transfer_failure::none) {
+        m_callbacks.on_check_failed(reply.result.detail);
+        return;
+    }
+    if (reply.result.status == status_gone) {
+        m_callbacks.on_check_passed();
+        relist();
+        return;
+    }
+    auto changes = reply.result.status == status_ok
+                       ? m_access.protocol.parse_changes(reply.body)
+                       : fail("store", 1, "status " + std::to_string(reply.result.status));
+    if (!changes) {
+        m_callbacks.on_check_failed(changes.error().message);
+        return;
+    }
+    // A watch that returned meanwhile is at least as new as the check.
+    const bool is_current = m_has_list && m_revision == since;
+    if (is_current && changes->revision > m_revision) {
+        m_revision = changes->revision;
+    }
+    m_callbacks.on_check_passed();
+    if (!is_current || changes->changes.empty()) {
+        return;
+    }
+    if (m_call) {
+        m_access.client->cancel(*m_call);
+        m_call.reset();
+        m_next_call.start(watch_delay_after_changes);
+    }
+    m_callbacks.on_changes(changes->changes, m_revision);
+}
+
 void object_reflector::send(http_request request, void (object_reflector::*on_reply)(const http_reply&)) {
     ++m_access.counts.calls;
     request.keep_alive_interval = keep_alive_interval;
--- a/tests/contract/object_reflector_test.cpp
+++ b/tests/contract/object_reflector_test.cpp
@@ -17,6 +17,8 @@
     object_store_access access;
     std::set<std::string> names;
     std::size_t failures = 0;
+    std::size_t checks_passed = 0;
+    std::size_t checks_failed = 0;
     std::size_t lists = 0;
     std::unique_ptr<object_reflector> reflector;
 
@@ -41,6 +43,8 @@
         };
         handlers.on_failure = [this](const std::string&) { ++failures; };
         handlers.on_answer = [] {};
+        handlers.on_check_passed = [this] { ++checks_passed; };
+        handlers.on_check_failed = [this](const std::string&) { ++checks_failed; };
         reflector = std::make_unique<object_reflector>(access, object_kind("things"), std::move(handlers));
     }
 
@@ -79,6 +83,44 @@
     EXPECT_GE(lists, 2U);
 }
 
+// Guards against a watch that waits on a dead connection and hides every later change.
+TEST_F(reflector_fixture, check_reports_what_the_watch_missed) {
+    store.put("things", "a", 1);
+    start();
+    ASSERT_TRUE(loop.run_until([&] { return store.watches == 1; }));
+    store.mute_watches();
+    store.put("things", "b", 1);
+    reflector->check(1s);
+    ASSERT_TRUE(reports_names({"a", "b"}));
+    EXPECT_EQ(1U, checks_passed);
+    store.put("things", "c", 1);
+    EXPECT_TRUE(reports_names({"a", "b", "c"})) << "the watch did not start anew";
+    EXPECT_EQ(1U, lists);
+}
+
+// Guards against a list for every check once the history before the last change of a quiet kind is gone.
+TEST_F(reflector_fixture, check_keeps_the_revision_of_a_quiet_kind_current) {
+    store.put("things", "a", 1);
+    start();
+    ASSERT_TRUE(loop.run_until([&] { return store.watches == 1; }));
+    store.put("other", "x", 1);
+    reflector->check(1s);
+    ASSERT_TRUE(loop.run_until([&] { return checks_passed == 1; }));
+    store.forget_history();
+    reflector->check(1s);
+    ASSERT_TRUE(loop.run_until([&] { return checks_passed == 2; }));
+    EXPECT_EQ(1U, lists);
+}
+
+// Guards against an outage that is noticed only when the watch times out.
+TEST_F(reflector_fixture, check_fails_when_the_store_is_silent) {
+    start();
+    ASSERT_TRUE(loop.run_until([&] { return store.watches == 1; }));
+    store.behaviour = fake_object_store::manner::silent;
+    reflector->check(50ms);
+    EXPECT_TRUE(loop.run_until([&] { return checks_failed == 1; }));
+}
+
 struct outage_case {
     const char* name;
     fake_object_store::manner behaviour;
--- a/tests/fakes/fake_object_store.cpp
+++ b/tests/fakes/fake_object_store.cpp
@@ -104,7 +104,7 @@
     if (exchange.method() != "GET") {
         answer_write(exchange, kind, body);
     } else if (const auto since = query_value(target, "watch"); !since.empty()) {
-        answer_watch(exchange, kind, std::stoull(since));
+        answer_watch(exchange, kind, std::stoull(since), query_value(target, "wait_ms") != "1");
     } else if (path.size() > prefix.size() + kind.size() + 1) {
         answer_get(exchange, kind, path.substr(prefix.size() + kind.size() + 1));
     } else {
@@ -141,15 +141,21 @@
                      json{{"items", items}, {"truncated", truncated}, {"store_revision", m_revision}}.dump());
 }
 
-void fake_object_store::answer_watch(http_exchange& exchange, const std::string& kind, std::uint64_t since) {
-    ++watches;
+void fake_object_store::answer_watch(http_exchange& exchange, const std::string& kind, std::uint64_t since,
+                                     bool waits) {
+    watches += waits ? 1 : 0;
     if (since < m_history_begin) {
         exchange.respond(410, {}, "gone");
         return;
     }
     const waiting_watch it{&exchange, kind, since};
-    if (!answer_changes(it)) {
+    if (answer_changes(it)) {
+        return;
+    }
+    if (waits) {
         m_waiting.push_back(it);
+    } else {
+        exchange.respond(200, {}, json{{"events", json::array()}, {"store_revision", m_revision}}.dump());
     }
 }
 
--- a/tests/fakes/fake_object_store.hpp
+++ b/tests/fakes/fake_object_store.hpp
@@ -57,7 +57,7 @@
     void answer(http_exchange& exchange, const std::string& body);
     void answer_list(http_exchange& exchange, const std::string& kind, const std::string& after);
     void answer_get(http_exchange& exchange, const std::string& kind, const std::string& name);
-    void answer_watch(http_exchange& exchange, const std::string& kind, std::uint64_t since);
+    void answer_watch(http_exchange& exchange, const std::string& kind, std::uint64_t since, bool waits);
     void answer_write(http_exchange& exchange, const std::string& kind, const std::string& body);
     bool answer_changes(const waiting_watch& it);
     void note_change(const std::string& kind, const nlohmann::json& object, bool deleted);
