Ask another peer, or anew, when a pull takes too long

Cause: a VM pulled configuration from one peer at a time and waited 1.5 s for it. On a kept connection that had fallen silent, or at a peer that was paused or lost power, that time was lost, twice with two kept connections to the same peer. Together with the detection of a silent watch, changes came later than the two seconds that the platform allows.

Change: after 300 ms a second pull may start, from the peer whose status comes next; idle connections to that peer are dropped first.

--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -49,6 +49,12 @@
     std::string body; ///< empty if nothing is cached
 };
 
+/// Requests to peers for configuration or for server entries that are in progress.
+struct peer_pulls {
+    std::size_t in_progress = 0;
+    time_point last_started_at{};
+};
+
 /// Complete state of the gateway process. The free functions of controllers.hpp read and modify it.
 struct gateway_board {
     gateway_settings conf;
@@ -77,8 +83,8 @@
     std::deque<server_change> recent_server_changes;      ///< latest changes, oldest first, for peers
     object_revision recent_changes_start; ///< the list above holds every change after this revision
     compressed_changes compressed_servers;
-    bool routing_pull_in_progress = false; ///< a request to a peer is in progress
-    bool servers_pull_in_progress = false;
+    peer_pulls routing_pulls;
+    peer_pulls servers_pulls;
 
     peer_table peers;
     peer_duties duties;
--- a/src/gateway/peer_sync.cpp
+++ b/src/gateway/peer_sync.cpp
@@ -16,6 +16,10 @@
 constexpr const char* since_parameter = "?since=";
 // A peer in the same failure domain usually responds in milliseconds, but a large configuration takes longer.
 constexpr duration pull_timeout = 1500ms;
+// A pull that takes longer may never end: its connection can be dead or its peer paused. A second one
+// follows.
+constexpr duration slow_pull_time = 300ms;
+constexpr std::size_t max_parallel_pulls = 2;
 constexpr byte_count max_pull_response_size{8UL << 20U};
 // A response contains the time since the store recovered, so a cached one must not be much older than that.
 constexpr duration cache_lifetime = 100ms;
@@ -130,12 +134,18 @@
     apply_routing(board, object, object_revision{body.at("revision").get<std::uint64_t>()}, source);
 }
 
-void pull(gateway_board& board, const std::string& address, std::string target, bool& in_progress,
+void pull(gateway_board& board, const std::string& address, std::string target, peer_pulls& pulls,
           void (*take)(gateway_board&, const json&, const std::string&)) {
-    if (in_progress) {
-        return;
+    const auto now = boot_clock::now();
+    if (pulls.in_progress > 0) {
+        if (pulls.in_progress >= max_parallel_pulls || now - pulls.last_started_at < slow_pull_time) {
+            return;
+        }
+        // Other kept connections to this peer may be dead as well.
+        board.store_http_client->discard_idle(socket_address(address));
     }
-    in_progress = true;
+    ++pulls.in_progress;
+    pulls.last_started_at = now;
     http_request request;
     request.address = socket_address(address);
     request.target = std::move(target);
@@ -144,8 +154,8 @@
     request.connect_timeout = 500ms;
     count(board, "peer_pulls_total");
     fetch(*board.store_http_client, std::move(request), max_pull_response_size,
-          [&board, &in_progress, take, address, started = boot_clock::now()](const http_reply& reply) {
-              in_progress = false;
+          [&board, &pulls, take, address, started = now](const http_reply& reply) {
+              --pulls.in_progress;
               if (reply.result.failure != transfer_failure::none || reply.result.status != status_ok) {
                   count(board, "peer_pull_failures_total");
                   write_event(board.log, "peer_pull_failed",
@@ -182,13 +192,12 @@
 void pull_if_newer(gateway_board& board, const gateway_status_message& status) {
     const auto own_version = board.routes == nullptr ? 0 : board.routes->config.version.value;
     if (status.routing_version > own_version) {
-        pull(board, status.relay_address, routing_path, board.routing_pull_in_progress,
-             &apply_routing_response);
+        pull(board, status.relay_address, routing_path, board.routing_pulls, &apply_routing_response);
     }
     if (status.servers_revision > board.servers_revision.value) {
         pull(board, status.relay_address,
              servers_path + std::string(since_parameter) + std::to_string(board.servers_revision.value),
-             board.servers_pull_in_progress, &apply_servers_response);
+             board.servers_pulls, &apply_servers_response);
     }
 }
 
