Read the store when no peer confirms that a VM's state is current

Cause: a VM relied on a head as long as its datagrams arrived, whatever became of the transfers from it and however old the head's own knowledge was. Delays of several detections added up, and a pull that never ended was never noticed.

Change: each status says how long ago the store is known to have held nothing newer than the versions in it; watchers know it from their checks and tell the other domains at once. A VM counts a status only if it holds those versions. A head that is unconfirmed for 0.9 s, or another VM for 1.2 s, reads the store itself, until a VM of higher rank that reads it confirms its state. This replaces the wait for a silent head (1.5 s), and two VMs that take over at the same time no longer leave the store to each other. An outage that heads report is still met in order of rank.

Tests: vm_without_status_from_heads_reads_the_store sets the time of the last confirmation instead of the last datagram, since that is what counts now.

--- a/include/endivelever/decide/peer_table.hpp
+++ b/include/endivelever/decide/peer_table.hpp
@@ -47,6 +47,16 @@
     std::vector<std::string> domain_addresses; ///< serving VMs of the own domain, as reported by its heads
     std::vector<std::string> other_addresses; ///< some serving VMs of other domains, as reported by the heads
     std::uint32_t fleet_size = 1; ///< number of serving VMs in all domains, as reported by the heads
+    /// Until when peers' statuses show that the store held nothing newer than this VM's state.
+    time_point confirmed_at{};
+    /// The same, from peers of higher rank that read the store themselves.
+    time_point confirmed_by_reader_at{};
+};
+
+/// Versions of the state that a VM holds.
+struct known_versions {
+    std::uint64_t routing_version = 0;
+    std::uint64_t servers_revision = 0;
 };
 
 /// Hash of a VM's id. It is uniformly distributed and gives the same result on all VMs.
@@ -87,7 +97,7 @@
 enum class watch_reason {
     none,             ///< it does not
     rank,             ///< one of the watchers of the fleet
-    no_head_heard,    ///< no head of its failure domain sends a status
+    unconfirmed,      ///< no peer has confirmed for too long that the state of this VM is current
     store_unreachable ///< no head that it hears reaches the store
 };
 
@@ -107,13 +117,31 @@
 /// @param watches  true if this VM watches the store
 bool head_reaches_store(const peer_table& table, bool watches, time_point now);
 
+/// Updates the times up to which this VM's state is confirmed, from the statuses of its peers. A status
+/// counts if it names no newer version than this VM holds, so a transfer that hangs leaves the state
+/// unconfirmed although its sender is heard.
+void update_confirmations(peer_table& table, const known_versions& own);
+
+/// The same for the latest status of one peer.
+void update_confirmations(peer_table& table, const peer& from, const known_versions& own);
+
+/// A VM whose state was not confirmed for this long reads the store. With the check interval of the watchers,
+/// the status intervals and one call to the store, a change is in force within two seconds whatever happens
+/// to the peers of a VM.
+constexpr duration head_confirmation_limit = std::chrono::milliseconds(900);
+/// Heads go first, so that their members hear of them before they read the store as well.
+constexpr duration confirmation_limit = std::chrono::milliseconds(1200);
+
 /// Determines the tasks of this VM. The store is watched by the watchers of the fleet. Another VM watches it
-/// as well if it receives no status from a head, or if no head had access to the store for some time. That
-/// time grows with the VM's position in the order of ranks, so that heads take over first and an outage of
-/// the store does not make all VMs call it at once.
+/// as well if its state is not confirmed by its peers, or if no head had access to the store for some time.
+/// That time grows with the VM's position in the order of ranks, so that heads take over first and an outage
+/// of the store does not make all VMs call it at once.
+/// @param watches                  true if this VM watches the store now; it then goes on until a VM of
+/// higher
+///                                 rank reads the store, so that several do not leave it to each other
 /// @param store_unreachable_since  when the last head known to this VM lost access to the store; default if
 ///                                 at least one has access
-peer_duties find_duties(peer_table& table, time_point store_unreachable_since, time_point now);
+peer_duties find_duties(peer_table& table, bool watches, time_point store_unreachable_since, time_point now);
 
 /// True if callers may be directed to the peer: its status is recent, it is not leaving, and it has a
 /// configuration in force.
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -81,6 +81,10 @@
 void receive_status(gateway_board& board, std::span<const std::uint8_t> payload);
 /// Sends this VM's status to the receivers for which it is due, or to all of them if `at_once`.
 void send_status(gateway_board& board, bool at_once);
+/// Sends this VM's status at once to the heads of other failure domains, if it is a head.
+void send_status_to_other_domains(gateway_board& board);
+/// Until when this VM knows, by its own reads and by its peers, that its state is current.
+time_point state_confirmed_at(const gateway_board& board);
 /// Updates the duties of this VM.
 void update_duties(gateway_board& board, time_point now);
 /// Requests configuration or server entries from a peer whose status shows newer ones.
--- a/include/endivelever/store/object_reflector.hpp
+++ b/include/endivelever/store/object_reflector.hpp
@@ -56,13 +56,15 @@
     /// @param timeout  the check fails if the store does not answer within this time
     void check(duration timeout);
     [[nodiscard]] object_revision revision() const { return m_revision; }
+    /// @return start of the last list or check that was answered: all changes before it are reported
+    [[nodiscard]] time_point confirmed_at() const { return m_confirmed_at; }
 
   private:
     void list_next_page();
     void watch();
     void handle_page(const http_reply& reply);
     void handle_changes(const http_reply& reply);
-    void handle_check(const http_reply& reply, object_revision since);
+    void handle_check(const http_reply& reply, object_revision since, time_point started);
     void handle_failure(const std::string& cause);
     void send(http_request request, void (object_reflector::*on_reply)(const http_reply&));
 
@@ -74,6 +76,8 @@
     std::optional<transfer_id> m_check;
     std::vector<stored_object> m_partial_list;
     object_revision m_list_revision;
+    time_point m_list_started_at{};
+    time_point m_confirmed_at{};
     object_revision m_revision;
     duration m_back_off;
     bool m_has_list = false; ///< false while the next call is a list
--- a/include/endivelever/wire/messages.hpp
+++ b/include/endivelever/wire/messages.hpp
@@ -5,6 +5,7 @@
 #include "endivelever/base/time.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <string>
 #include <variant>
@@ -103,6 +104,8 @@
     std::vector<std::string> other_addresses;  ///< some serving VMs of other failure domains
     bool store_heard = false;   ///< the store answers this head, or any head from which it receives status
     std::uint32_t capacity = 0; ///< processor share in hundredths of a core
+    /// Milliseconds since the store is known to have held nothing newer than the versions above.
+    std::uint32_t knowledge_age_ms = std::numeric_limits<std::uint32_t>::max();
 };
 
 using message = std::variant<hello_message, heartbeat_message, document_message, member_table_message,
--- a/src/decide/peer_table.cpp
+++ b/src/decide/peer_table.cpp
@@ -16,8 +16,6 @@
 constexpr std::uint32_t max_capacity = 0xffff;
 // A head that timed out is considered again after this time, which is about the duration of a restart.
 constexpr duration head_exclusion_time = 3s;
-// A VM that received no status from a head for this long considers itself partitioned and reads the store.
-constexpr duration isolation_timeout = 1500ms;
 // Validity of a head's report that the store answers; one datagram from another domain may be lost.
 constexpr duration store_report_timeout = 2 * cross_domain_status_interval + 250ms;
 // While no head has access to the store, one more VM of a failure domain calls it after each such interval.
@@ -189,8 +187,8 @@
     switch (reason) {
     case watch_reason::rank:
         return "rank";
-    case watch_reason::no_head_heard:
-        return "no_head_heard";
+    case watch_reason::unconfirmed:
+        return "unconfirmed";
     case watch_reason::store_unreachable:
         return "store_unreachable";
     case watch_reason::none:
@@ -199,12 +197,34 @@
     return "none";
 }
 
-peer_duties find_duties(peer_table& table, time_point store_unreachable_since, time_point now) {
+void update_confirmations(peer_table& table, const peer& from, const known_versions& own) {
+    const auto& status = from.status;
+    const bool is_known = status.state == member_state::live && status.routing_version != 0 &&
+                          status.routing_version <= own.routing_version &&
+                          status.servers_revision <= own.servers_revision;
+    if (from.last_heard == time_point{} || !is_known) {
+        return;
+    }
+    const auto at = from.last_heard - std::chrono::milliseconds(status.knowledge_age_ms);
+    table.confirmed_at = std::max(table.confirmed_at, at);
+    if (status.store_answers && from.rank > rank_in(table, table.own.vm)) {
+        table.confirmed_by_reader_at = std::max(table.confirmed_by_reader_at, at);
+    }
+}
+
+void update_confirmations(peer_table& table, const known_versions& own) {
+    for (const auto& it : table.peers) {
+        update_confirmations(table, it.second, own);
+    }
+}
+
+peer_duties find_duties(peer_table& table, bool watches, time_point store_unreachable_since, time_point now) {
     const auto is_own = [&table](const vm_id& it) { return it == table.own.vm; };
     const auto heads = find_heads(table, table.own.failure_domain, now);
     const bool is_head = table.loaded && std::any_of(heads.begin(), heads.end(), is_own);
-    const auto since = std::max(table.started, table.head_heard_at);
-    const bool isolated = !is_head && now - since > isolation_timeout;
+    const auto confirmed =
+        std::max(table.started, watches ? table.confirmed_by_reader_at : table.confirmed_at);
+    const bool is_unconfirmed = now - confirmed > (is_head ? head_confirmation_limit : confirmation_limit);
     bool takes_over = false;
     if (store_unreachable_since != time_point{}) {
         const auto order = vms_by_rank(table, table.own.failure_domain);
@@ -214,21 +234,22 @@
         takes_over = now - store_unreachable_since >= position * takeover_interval;
     }
     auto reason = watch_reason::none;
-    if (isolated) {
-        reason = watch_reason::no_head_heard;
-    } else if (takes_over) {
-        reason = watch_reason::store_unreachable;
-    } else if (is_head) {
+    if (is_head) {
         const auto watchers = find_watchers(table, now);
         const bool is_watcher = std::any_of(watchers.begin(), watchers.end(), is_own);
         reason = is_watcher ? watch_reason::rank : watch_reason::none;
     }
-    const bool watches = reason != watch_reason::none;
+    if (reason == watch_reason::none && store_unreachable_since != time_point{}) {
+        reason = takes_over ? watch_reason::store_unreachable : watch_reason::none;
+    } else if (reason == watch_reason::none && is_unconfirmed) {
+        reason = watch_reason::unconfirmed;
+    }
+    const bool reads_store = reason != watch_reason::none;
     table.is_head = is_head;
     // VMs of the domain that send their status here consider this VM a head and expect an answer.
     const bool is_expected_as_head =
         table.member_heard_at != time_point{} && now - table.member_heard_at <= peer_timeout;
-    return {is_head || watches || is_expected_as_head, watches, reason};
+    return {is_head || reads_store || is_expected_as_head, reads_store, reason};
 }
 
 bool is_serving(const peer& it, time_point now) {
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -73,6 +73,7 @@
     gauges["gateway_registered_servers"] = static_cast<double>(board.registry.entries.size());
     gauges["gateway_store_away"] = board.registry.store_unavailable ? 1.0 : 0.0;
     gauges["gateway_serving_vms"] = board.peers.fleet_size;
+    gauges["gateway_state_age_seconds"] = to_seconds(boot_clock::now() - state_confirmed_at(board));
     gauges["gateway_watches_store"] = board.duties.watches ? 1.0 : 0.0;
     gauges["gateway_log_lines_dropped"] = static_cast<double>(board.log.dropped);
     gauges["gateway_store_calls"] = static_cast<double>(board.store_access.counts.calls);
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -2,6 +2,7 @@
 #include "endivelever/net/datagram_socket.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace endivelever {
@@ -60,6 +61,16 @@
     }
 }
 
+known_versions own_versions(const gateway_board& board) {
+    return {board.routes == nullptr ? 0 : board.routes->config.version.value, board.servers_revision.value};
+}
+
+std::uint32_t knowledge_age_ms(const gateway_board& board) {
+    const auto age = std::max(duration::zero(), boot_clock::now() - state_confirmed_at(board));
+    const auto ms = std::chrono::ceil<std::chrono::milliseconds>(age).count();
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(ms, std::numeric_limits<std::uint32_t>::max()));
+}
+
 gateway_status_message own_status(gateway_board& board) {
     gateway_status_message status;
     status.vm = board.conf.vm;
@@ -73,6 +84,7 @@
     status.routing_version = is_ready(board) ? board.routes->config.version.value : 0;
     status.servers_revision = board.servers_revision.value;
     status.capacity = board.peers.own.capacity;
+    status.knowledge_age_ms = knowledge_age_ms(board);
     status.is_head = board.duties.is_head;
     if (status.is_head) {
         status.store_answers = board.duties.watches && !board.registry.store_unavailable;
@@ -150,13 +162,24 @@
 
 } // namespace
 
+time_point state_confirmed_at(const gateway_board& board) {
+    if (board.routing_reflector == nullptr) {
+        return board.peers.confirmed_at;
+    }
+    const auto read_at =
+        std::min(board.routing_reflector->confirmed_at(), board.server_reflector->confirmed_at());
+    return std::max(board.peers.confirmed_at, read_at);
+}
+
 void update_duties(gateway_board& board, time_point now) {
     const auto before = board.duties;
-    board.duties = find_duties(board.peers, update_store_unreachable_since(board, now), now);
+    update_confirmations(board.peers, own_versions(board));
+    board.duties = find_duties(board.peers, before.watches, update_store_unreachable_since(board, now), now);
     if (before.watches != board.duties.watches) {
         const auto reason = board.duties.watches ? board.duties.reason : before.reason;
         write_event(board.log, board.duties.watches ? "watch_taken_over" : "watch_handed_over",
                     {{"reason", to_string(reason)},
+                     {"confirmed_ms_ago", to_milliseconds(now - state_confirmed_at(board))},
                      {"servers_revision", static_cast<std::int64_t>(board.servers_revision.value)}});
     }
     if (board.duties.is_head) {
@@ -182,6 +205,21 @@
     }
 }
 
+void send_status_to_other_domains(gateway_board& board) {
+    if (!board.duties.is_head) {
+        return;
+    }
+    const auto now = boot_clock::now();
+    const auto payload = encode(own_status(board));
+    for (const auto& id : status_receivers(board, now)) {
+        auto& it = board.peers.peers.at(id);
+        if (!in_own_domain(board, it)) {
+            it.last_sent = now;
+            board.peer_socket->send(socket_address(it.record.peer_address), payload);
+        }
+    }
+}
+
 void receive_status(gateway_board& board, std::span<const std::uint8_t> payload) {
     const auto decoded = decode(payload);
     const auto* status = decoded ? std::get_if<gateway_status_message>(&*decoded) : nullptr;
@@ -193,6 +231,7 @@
     if (!merge_status(board.peers, *status, now)) {
         return;
     }
+    update_confirmations(board.peers, board.peers.peers.at(status->vm), own_versions(board));
     const bool is_own_head = status->is_head && status->failure_domain == board.conf.failure_domain;
     apply_reported_store_state(board, now);
     if (is_own_head) {
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -69,6 +69,7 @@
         board.routing_reflector->relist();
         board.server_reflector->relist();
     }
+    send_status_to_other_domains(board); // confirms their state
 }
 
 void handle_store_check_failure(gateway_board& board, const object_kind& kind, const std::string& cause) {
--- a/src/store/object_reflector.cpp
+++ b/src/store/object_reflector.cpp
@@ -58,13 +58,13 @@
     request.timeout = timeout;
     ++m_access.counts.calls;
     m_check = fetch(*m_access.client, std::move(request), max_reply_size,
-                    [this, since = m_revision](const http_reply& reply) {
+                    [this, since = m_revision, started = boot_clock::now()](const http_reply& reply) {
                         m_check.reset();
-                        handle_check(reply, since);
+                        handle_check(reply, since, started);
                     });
 }
 
-void object_reflector::handle_check(const http_reply& reply, object_revision since) {
+void object_reflector::handle_check(const http_reply& reply, object_revision since, time_point started) {
     if (reply.result.failure != transfer_failure::none) {
         m_callbacks.on_check_failed(reply.result.detail);
         return;
@@ -86,16 +86,18 @@
     if (is_current && changes->revision > m_revision) {
         m_revision = changes->revision;
     }
-    m_callbacks.on_check_passed();
-    if (!is_current || changes->changes.empty()) {
-        return;
+    if (is_current) {
+        m_confirmed_at = started;
     }
-    if (m_call) {
-        m_access.client->cancel(*m_call);
-        m_call.reset();
-        m_next_call.start(watch_delay_after_changes);
+    if (is_current && !changes->changes.empty()) {
+        if (m_call) {
+            m_access.client->cancel(*m_call);
+            m_call.reset();
+            m_next_call.start(watch_delay_after_changes);
+        }
+        m_callbacks.on_changes(changes->changes, m_revision);
     }
-    m_callbacks.on_changes(changes->changes, m_revision);
+    m_callbacks.on_check_passed();
 }
 
 void object_reflector::send(http_request request, void (object_reflector::*on_reply)(const http_reply&)) {
@@ -116,6 +118,9 @@
     auto request = m_access.protocol.list(m_kind, m_partial_list.empty() ? "" : m_partial_list.back().name);
     request.timeout = list_timeout;
     ++m_access.counts.lists;
+    if (m_partial_list.empty()) {
+        m_list_started_at = boot_clock::now();
+    }
     send(std::move(request), &object_reflector::handle_page);
 }
 
@@ -148,6 +153,7 @@
     m_has_list = true;
     m_back_off = initial_back_off;
     m_revision = m_list_revision;
+    m_confirmed_at = m_list_started_at;
     const auto listed = std::exchange(m_partial_list, {});
     m_next_call.start(duration::zero());
     m_callbacks.on_list(listed, m_revision);
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -96,7 +96,7 @@
     return fb::CreateGatewayStatus(out, vm, value.life.value, value.sequence, to_fb(value.state), domain,
                                    caller, peer, relay, value.routing_version, value.servers_revision,
                                    value.is_head, value.store_answers, value.fleet_size, near, far,
-                                   value.store_heard, value.capacity)
+                                   value.store_heard, value.capacity, value.knowledge_age_ms)
         .Union();
 }
 
@@ -245,7 +245,8 @@
         in.list(value->domain_addresses(), wire_limits::members, "domain addresses", address),
         in.list(value->other_addresses(), wire_limits::members, "other addresses", address),
         value->store_heard(),
-        value->capacity()};
+        value->capacity(),
+        value->knowledge_age_ms()};
 }
 
 result<message> unpack(field_reader& in, const fb::Envelope* value) {
--- a/tests/unit/peer_table_test.cpp
+++ b/tests/unit/peer_table_test.cpp
@@ -74,10 +74,125 @@
 TEST(peer_table, vm_without_status_from_heads_reads_the_store) {
     auto table = make_table("vm-0", vms(30));
     table.loaded = false;
-    EXPECT_FALSE(find_duties(table, {}, start + 1s).watches);
-    EXPECT_TRUE(find_duties(table, {}, start + 2s).watches);
-    table.head_heard_at = start + 2s;
-    EXPECT_FALSE(find_duties(table, {}, start + 3s).watches);
+    EXPECT_FALSE(find_duties(table, false, {}, start + 1s).watches);
+    EXPECT_TRUE(find_duties(table, false, {}, start + 2s).watches);
+    table.confirmed_at = start + 2s;
+    EXPECT_FALSE(find_duties(table, false, {}, start + 3s).watches);
+}
+
+struct confirmation_case {
+    const char* name;
+    std::uint64_t own_version;
+    std::uint64_t own_revision;
+    void (*change)(gateway_status_message&);
+    duration confirmed; ///< expected, relative to `start`; 0 for none
+};
+
+struct confirmation : testing::TestWithParam<confirmation_case> {};
+
+// Guards against state that counts as current because a peer that holds a newer one is heard.
+TEST_P(confirmation, counts_only_statuses_that_name_nothing_newer) {
+    auto table = make_table("vm-0", vms(3));
+    auto it = status(vm_id("vm-1"), 1);
+    it.routing_version = 5;
+    it.servers_revision = 50;
+    it.knowledge_age_ms = 300;
+    GetParam().change(it);
+    ASSERT_TRUE(merge_status(table, it, start + 10s));
+    update_confirmations(table, {GetParam().own_version, GetParam().own_revision});
+    const auto expected =
+        GetParam().confirmed == duration::zero() ? time_point{} : start + GetParam().confirmed;
+    EXPECT_EQ(expected, table.confirmed_at);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    statuses, confirmation,
+    testing::Values(
+        confirmation_case{"same_versions", 5, 50, [](gateway_status_message&) {}, 9700ms},
+        confirmation_case{"own_is_newer", 6, 51, [](gateway_status_message&) {}, 9700ms},
+        confirmation_case{"newer_configuration", 4, 50, [](gateway_status_message&) {}, {}},
+        confirmation_case{"newer_servers", 5, 49, [](gateway_status_message&) {}, {}},
+        confirmation_case{
+            "stopping", 5, 50, [](gateway_status_message& it) { it.state = member_state::leaving; }, {}},
+        confirmation_case{
+            "has_no_state", 5, 50, [](gateway_status_message& it) { it.routing_version = 0; }, {}},
+        confirmation_case{"older_build",
+                          5,
+                          50,
+                          [](gateway_status_message& it) {
+                              it.knowledge_age_ms = gateway_status_message().knowledge_age_ms;
+                          },
+                          {}}),
+    [](const auto& it) { return it.param.name; });
+
+struct unconfirmed_case {
+    const char* name;
+    bool is_head;
+    duration age; ///< since the state was confirmed
+    bool reads_store;
+};
+
+struct unconfirmed : testing::TestWithParam<unconfirmed_case> {};
+
+// Guards against a VM that waits for its peers longer than a change may take.
+TEST_P(unconfirmed, vm_reads_the_store) {
+    const auto now = start + 60s;
+    auto listed = vms(30);
+    std::sort(listed.begin(), listed.end(), [](const registered_vm& left, const registered_vm& right) {
+        return rank_of(left.vm, left.capacity) > rank_of(right.vm, right.capacity);
+    });
+    // The heads of another domain rank higher, so that a head of this domain is not a watcher of the fleet.
+    auto table = make_table(listed[GetParam().is_head ? 0 : 9].vm.text, listed);
+    for (std::size_t i = 0; i < watchers_per_fleet; ++i) {
+        auto it = vm("watcher-" + std::to_string(i), "domain-" + std::to_string(i));
+        it.capacity = 50;
+        listed.push_back(it);
+    }
+    apply_registered(table, listed);
+    std::uint64_t sequence = 0;
+    for (const auto& it : listed) {
+        if (it.vm != table.own.vm) {
+            auto told = status(it.vm, ++sequence);
+            told.failure_domain = it.failure_domain;
+            told.capacity = it.capacity;
+            merge_status(table, told, now);
+        }
+    }
+    table.confirmed_at = now - GetParam().age;
+    EXPECT_EQ(GetParam().reads_store, find_duties(table, false, {}, now).watches);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    ages, unconfirmed,
+    testing::Values(unconfirmed_case{"head_in_time", true, head_confirmation_limit, false},
+                    unconfirmed_case{"head_late", true, head_confirmation_limit + 1ms, true},
+                    unconfirmed_case{"member_in_time", false, confirmation_limit, false},
+                    unconfirmed_case{"member_late", false, confirmation_limit + 1ms, true}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against several VMs that took over at the same time and leave the store to each other.
+TEST(peer_table, only_a_reader_of_higher_rank_relieves_a_vm) {
+    const auto now = start + 60s;
+    auto table = make_table("vm-0", {vm("vm-0"), vm("higher"), vm("lower")});
+    table.own.capacity = 20;
+    for (const auto& [name, capacity] : {std::pair{"higher", 30U}, std::pair{"lower", 10U}}) {
+        auto it = status(vm_id(name), 1);
+        it.capacity = capacity;
+        it.knowledge_age_ms = 0;
+        it.store_answers = false;
+        merge_status(table, it, now);
+    }
+    update_confirmations(table, {1, 0});
+    EXPECT_EQ(now, table.confirmed_at);
+    EXPECT_EQ(time_point{}, table.confirmed_by_reader_at);
+    for (const auto* name : {"lower", "higher"}) {
+        auto it = status(vm_id(name), 2);
+        it.capacity = table.peers.at(vm_id(name)).record.capacity;
+        it.knowledge_age_ms = 0;
+        merge_status(table, it, now);
+        update_confirmations(table, {1, 0});
+        EXPECT_EQ(name == std::string("higher") ? now : time_point{}, table.confirmed_by_reader_at);
+    }
 }
 
 // Guards against all VMs calling the store at once during its outage.
@@ -92,7 +207,7 @@
                 merge_status(table, status(it.first, 1), now);
             }
             table.head_heard_at = now;
-            n += find_duties(table, start, now).watches ? 1 : 0;
+            n += find_duties(table, false, start, now).watches ? 1 : 0;
         }
         watching.push_back(n);
     }
@@ -174,7 +289,7 @@
     std::size_t watching = 0;
     for (const auto& it : listed) {
         auto table = make_table_in_domain(it, listed);
-        watching += find_duties(table, {}, start).watches ? 1 : 0;
+        watching += find_duties(table, false, {}, start).watches ? 1 : 0;
     }
     EXPECT_EQ(watchers_per_fleet, watching);
 }
@@ -191,7 +306,7 @@
         }
         table.head_heard_at = now;
         EXPECT_FALSE(head_reaches_store(table, false, now));
-        watching += find_duties(table, now, now).watches ? 1 : 0;
+        watching += find_duties(table, false, now, now).watches ? 1 : 0;
     }
     EXPECT_GT(watching, watchers_per_fleet);
     EXPECT_LE(watching, watchers_per_fleet + domains);
