Take over the watch on a new connection

The first list of a VM that takes over could go out on a kept connection that had fallen silent and wait one second for its timeout.

Change: idle connections to the store are dropped before a VM begins to watch. A case of the freshness tests kills the heads while all open connections are silent.

--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -364,6 +364,8 @@
         return;
     }
     if (board.routing_reflector == nullptr) {
+        // A kept connection may be dead; its first list would wait for the timeout.
+        board.store_http_client->discard_idle(board.conf.store_address);
         board.routing_reflector = std::make_unique<object_reflector>(
             board.store_access, board.dialect.routing_kind, routing_handlers(board));
         board.server_reflector = std::make_unique<object_reflector>(
--- a/tests/contract/gateway_freshness_test.cpp
+++ b/tests/contract/gateway_freshness_test.cpp
@@ -62,6 +62,10 @@
         }
     }
 
+    void kill_heads() {
+        std::erase_if(gateways, [](const auto& it) { return it->board().duties.is_head; });
+    }
+
     bool all_reach(std::uint64_t version, std::size_t servers, duration limit) {
         return loop.run_until(
             [&] {
@@ -106,10 +110,12 @@
                            it.silence_relays();
                        }},
         freshness_case{"pulls_between_vms_hang", [](freshness_fixture& it) { it.block_relays(); }},
-        freshness_case{"heads_are_killed",
+        freshness_case{"heads_are_killed", [](freshness_fixture& it) { it.kill_heads(); }},
+        freshness_case{"heads_are_killed_and_open_connections_fall_silent",
                        [](freshness_fixture& it) {
-                           std::erase_if(it.gateways,
-                                         [](const auto& vm) { return vm->board().duties.is_head; });
+                           it.store_link->silence_open_connections();
+                           it.silence_relays();
+                           it.kill_heads();
                        }}),
     [](const auto& it) { return it.param.name; });
 
