Read the limit that servers name, and log it

Cause: no log showed which responses carried Server-Limit, and the adapter did not read the header.

Change: the adapter decodes it into a typed field; a change is logged as server_limit with its source. Nothing acts on it yet. Headers of a 421, which is another server's answer, do not count; unreadable ones are counted.

Measured: a table of eleven texts passes.

--- /dev/null
+++ b/include/endivelever/decide/server_directives.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <optional>
+
+namespace endivelever {
+
+/// What one response says about the requests that its server wants. The adapter of a platform decodes it.
+struct server_directives {
+    /// Requests per second that the server takes from all VMs together; no value if it names no limit.
+    std::optional<double> fleet_limit;
+};
+
+} // namespace endivelever
--- a/include/endivelever/gateway/dialect.hpp
+++ b/include/endivelever/gateway/dialect.hpp
@@ -3,6 +3,7 @@
 #include "endivelever/base/result.hpp"
 #include "endivelever/config/routing.hpp"
 #include "endivelever/decide/load_report.hpp"
+#include "endivelever/decide/server_directives.hpp"
 #include "endivelever/net/http_header.hpp"
 #include "endivelever/store/object_protocol.hpp"
 
@@ -24,6 +25,8 @@
 struct response_metadata {
     bool not_run = false; ///< the server states that it did not run the request
     std::optional<load_report> report;
+    server_directives directives;
+    bool invalid_directive = false; ///< a directive was present but could not be read
 };
 
 /// Names, paths and formats specific to one platform. Filled in by the platform adapter.
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -156,6 +156,9 @@
     const auto facts = board.dialect.read_response(status, headers, expected);
     attempt.not_run = facts.not_run;
     attempt.report = facts.report;
+    if (auto* view = find_view(board, it, attempt)) {
+        apply_directives(board, *view, facts, "response");
+    }
     if (const auto* length = find_header(headers, "Content-Length")) {
         attempt.content_length = std::strtoull(length->c_str(), nullptr, 10);
     }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -102,6 +102,7 @@
     const auto facts =
         board.dialect.read_response(reply.result.status, reply.headers, expected_response_time(service));
     view.reports_unhealthy = reply.result.status != status_ok;
+    apply_directives(board, view, facts, "probe");
     if (!facts.report) {
         return;
     }
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -124,6 +124,40 @@
     EXPECT_FALSE(read_response(504, {}, {}).not_run);
 }
 
+struct limit_case {
+    const char* name;
+    unsigned status;
+    const char* header;
+    const char* text;
+    std::optional<double> limit;
+    bool invalid;
+};
+
+struct server_limit : testing::TestWithParam<limit_case> {};
+
+// Guards against a limit that is not read, and against nonsense that takes a server out of use.
+TEST_P(server_limit, is_read_from_responses) {
+    const auto& it = GetParam();
+    const auto facts = read_response(it.status, {{it.header, it.text}}, {});
+    EXPECT_EQ(it.limit, facts.directives.fleet_limit);
+    EXPECT_EQ(it.invalid, facts.invalid_directive);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    texts, server_limit,
+    testing::Values(limit_case{"whole", 200, "Server-Limit", "3", 3.0, false},
+                    limit_case{"decimal", 200, "server-limit", "6.2", 6.2, false},
+                    limit_case{"on_a_refusal", 503, "Server-Limit", "0.5", 0.5, false},
+                    limit_case{"zero", 200, "Server-Limit", "0", 0.0, false},
+                    limit_case{"negative", 200, "Server-Limit", "-1", std::nullopt, true},
+                    limit_case{"huge", 200, "Server-Limit", "1e300", std::nullopt, true},
+                    limit_case{"not_a_number", 200, "Server-Limit", "nan", std::nullopt, true},
+                    limit_case{"text", 200, "Server-Limit", "few", std::nullopt, true},
+                    limit_case{"unit", 200, "Server-Limit", "3/s", std::nullopt, true},
+                    limit_case{"empty", 200, "Server-Limit", "", std::nullopt, true},
+                    limit_case{"of_another_server", 421, "Server-Limit", "3", std::nullopt, false}),
+    [](const auto& it) { return it.param.name; });
+
 json settings_document() {
     return json::parse(R"({"node_name":"n","ip_address":"10.1.0.1","zone":"a",
         "listen_addrs":{"frontend":"10.1.0.1:1","ready":"10.1.0.1:2","control_plane":"10.1.0.1:3",
