Show by test that the limit of a server is not kept

Cause: nothing acts on the limit that a server names for all VMs together.

Change: the stand-in server sends directives and records arrivals; four VMs under load, a server that names 2 or 0.6 requests a second, in probes too or only in responses. The bound is the owners': one and a half times the limit and 5 in any 4 s, from 3 s after it was first named.

--- a/tests/fakes/fake_target.cpp
+++ b/tests/fakes/fake_target.cpp
@@ -34,10 +34,15 @@
 
 void fake_target::answer(http_exchange& exchange) {
     http_headers headers{{"X-Instance-Id", m_id}, {"X-Instance-Load", load}};
-    if (exchange.path() == "/health") {
+    const bool is_probe = exchange.path() == "/health";
+    if (!is_probe || directives_in_probes) {
+        headers.insert(headers.end(), directives.begin(), directives.end());
+    }
+    if (is_probe) {
         exchange.respond(200, headers, "");
         return;
     }
+    arrivals.push_back(boot_clock::now());
     const auto* id = find_header(exchange.headers(), "X-Request-Id");
     const auto* expected = find_header(exchange.headers(), "X-Expect-Instance");
     if (expected != nullptr && *expected != m_id) {
--- a/tests/fakes/fake_target.hpp
+++ b/tests/fakes/fake_target.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "endivelever/base/time.hpp"
 #include "endivelever/net/event_loop.hpp"
 #include "endivelever/net/http_server.hpp"
 
@@ -42,6 +43,9 @@
     manner behaviour = manner::serves;
     std::string load = "0,0,4,100";
     std::string body = "answer";
+    http_headers directives;                   ///< added to each response
+    bool directives_in_probes = true;          ///< also to responses to health checks
+    std::vector<time_point> arrivals;          ///< of requests, also of those that it rejects
     std::vector<std::string> ran;              ///< ids of the requests that began to run
     std::vector<std::string> left;             ///< ids whose connection closed before the response
     std::map<std::string, http_headers> heads; ///< by request id
