Keep the limit of requests that a server names, as a fleet

Cause: a server in need names the requests a second that it takes from all machines together, and nothing read that. Servers got all requests as before. A limit kept by each VM alone would still be exceeded 16 times over.

Change: a pure module holds what a server wants from this VM, by incarnation. VMs divide the limit by rendezvous hash of server and VM: for each request per second two VMs get a regular share with a token each, since every VM may send a whole request at any time; the others share a tenth and so notice its end. Placement, retries, hedges and probes ask whether the server takes a request now. Servers with a limit are probed about 16 times a second by all VMs together. A request that no server will take in time is refused at once with the time of the first one, spread over twice that time.

--- a/include/endivelever/decide/probe_choice.hpp
+++ b/include/endivelever/decide/probe_choice.hpp
@@ -61,7 +61,8 @@
 
 /// Selects servers to probe, best candidates first: servers of the own failure domain and of the preferred
 /// subset rank higher, servers known to be slow, unresponsive or failing rank lower. Draining servers,
-/// servers without a free connection and servers whose answer to a probe is still pending are left out.
+/// servers without a free connection, servers that want no request now and servers whose answer to a probe is
+/// still pending are left out.
 /// @param excluded           servers that must not be used
 /// @param prefer_own_domain  true if the response is so large that it should not cross failure domains
 /// @return at most `n` servers
@@ -69,6 +70,15 @@
                                           std::size_t n, bool prefer_own_domain, time_point now,
                                           random_source& random);
 
+/// Selects the servers that limit requests and are due for a probe, which shows whether that has ended.
+/// @param vms  serving VMs, which all probe them
+std::vector<server_index> limited_servers_to_probe(const server_pool& pool, std::uint32_t vms,
+                                                   time_point now);
+
+/// @return when the first server that may be used takes a request again: not later than `now` if one takes it
+/// now; time_point::max() if that is not foreseeable
+time_point first_request_at(const server_pool& pool, const std::vector<server_id>& excluded, time_point now);
+
 /// Records that a server did not answer a probe in time.
 void note_probe_timeout(server_view& view, time_point now);
 
--- a/include/endivelever/decide/server_view.hpp
+++ b/include/endivelever/decide/server_view.hpp
@@ -5,7 +5,7 @@
 #include "endivelever/config/settings.hpp"
 #include "endivelever/config/vm_list.hpp"
 #include "endivelever/decide/load_report.hpp"
-#include "endivelever/decide/server_directives.hpp"
+#include "endivelever/decide/request_allowance.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -43,7 +43,7 @@
     time_point shed_at{};
     bool reports_unhealthy = false; ///< its last answer to a health check was no success
     bool in_subset = true;          ///< in this entry's preferred subset
-    server_directives directives;   ///< from its last response
+    request_allowance allowance;    ///< requests that the server wants from this VM
 };
 
 /// All servers of one service as known to one entry.
--- a/src/decide/choose_server.cpp
+++ b/src/decide/choose_server.cpp
@@ -109,8 +109,10 @@
     return {static_cast<double>(usable) < panic_share * static_cast<double>(staying)};
 }
 
-bool is_eligible(const server_view& view, const std::vector<server_id>& excluded, eligibility rule) {
-    if (is_draining(view) || view.in_flight.size() >= view.connection_share) {
+bool is_eligible(const server_view& view, const std::vector<server_id>& excluded, eligibility rule,
+                 time_point now) {
+    if (is_draining(view) || view.in_flight.size() >= view.connection_share ||
+        !may_send(view.allowance, now)) {
         return false;
     }
     if (view.state == server_state::ejected && !rule.use_ejected) {
@@ -151,7 +153,7 @@
     std::optional<server_index> best;
     double best_score = std::numeric_limits<double>::infinity();
     for (server_index i = 0; i < pool.servers.size(); ++i) {
-        if (i == skipped || !is_eligible(pool.servers[i], excluded, rule)) {
+        if (i == skipped || !is_eligible(pool.servers[i], excluded, rule, now)) {
             continue;
         }
         const double value = score(pool, i, now, random);
--- a/src/decide/observe.cpp
+++ b/src/decide/observe.cpp
@@ -133,6 +133,7 @@
 
 void note_dispatch(server_view& view, time_point now) {
     view.in_flight.insert(std::upper_bound(view.in_flight.begin(), view.in_flight.end(), now), now);
+    note_request_sent(view.allowance, now);
 }
 
 void note_end(server_pool& pool, server_view& view, time_point started, time_point now, attempt_end end,
--- a/src/decide/probe_choice.cpp
+++ b/src/decide/probe_choice.cpp
@@ -36,6 +36,11 @@
 constexpr duration max_probe_burst = 15s;
 constexpr duration initial_credit = 1s;
 
+// A server that limits requests is probed this often by all VMs together, and by one VM at most once in the
+// interval below.
+constexpr duration limited_probe_spacing = 60ms;
+constexpr duration min_limited_probe_interval = 1s;
+
 // Up to this slowdown a server counts as running at its usual speed.
 constexpr double max_usual_slowdown = 1.3;
 
@@ -119,7 +124,7 @@
         const bool is_probe_pending =
             view.reported_at < view.last_probe && now - view.last_probe <= probe_response_limit;
         if (is_draining(view) || is_probe_pending || view.in_flight.size() >= view.connection_share ||
-            contains(excluded, view.listed.id)) {
+            !may_send(view.allowance, now) || contains(excluded, view.listed.id)) {
             continue;
         }
         const double cost = reported_factor(view, now) * state_factor(view, now) *
@@ -137,6 +142,30 @@
     return picked;
 }
 
+std::vector<server_index> limited_servers_to_probe(const server_pool& pool, std::uint32_t vms,
+                                                   time_point now) {
+    const auto interval =
+        std::max(min_limited_probe_interval, limited_probe_spacing * static_cast<int>(std::max(1U, vms)));
+    std::vector<server_index> due;
+    for (server_index i = 0; i < pool.servers.size(); ++i) {
+        const auto& view = pool.servers[i];
+        if (!is_draining(view) && view.allowance.fleet_limit && now - view.last_probe >= interval) {
+            due.push_back(i);
+        }
+    }
+    return due;
+}
+
+time_point first_request_at(const server_pool& pool, const std::vector<server_id>& excluded, time_point now) {
+    auto first = time_point::max();
+    for (const auto& view : pool.servers) {
+        if (!is_draining(view) && !contains(excluded, view.listed.id)) {
+            first = std::min(first, next_request_at(view.allowance, now));
+        }
+    }
+    return first;
+}
+
 void credit_probes(probe_budget& budget, double per_server_per_second, std::size_t servers, std::uint32_t vms,
                    time_point now) {
     const double rate = used_probe_share * per_server_per_second * static_cast<double>(servers) /
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -157,7 +157,7 @@
     attempt.not_run = facts.not_run;
     attempt.report = facts.report;
     if (auto* view = find_view(board, it, attempt)) {
-        apply_directives(board, *view, facts, "response");
+        apply_directives(board, *view, facts, directive_source::response);
     }
     if (const auto* length = find_header(headers, "Content-Length")) {
         attempt.content_length = std::strtoull(length->c_str(), nullptr, 10);
--- a/src/gateway/maintenance.cpp
+++ b/src/gateway/maintenance.cpp
@@ -71,6 +71,7 @@
     hedge_late_requests(board, now);
     for (auto& it : board.services) {
         process_wait_queue(board, it.second, now);
+        probe_limited_servers(board, it.second, now);
     }
     if (now - board.medians_updated_at >= median_interval) {
         board.medians_updated_at = now;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -23,6 +23,7 @@
 // A load report of this age makes a probe unnecessary.
 constexpr duration fresh_report_age = 10ms;
 constexpr duration min_retry_after = 100ms;
+constexpr duration max_retry_after = 10s;
 
 duration expected_response_time(const gateway_service& service) {
     if (service.median_response_time > duration::zero()) {
@@ -39,13 +40,13 @@
     return found == services.end() ? nullptr : &*found;
 }
 
-server_offer make_offer(const gateway_service& service, const server_view& view) {
+server_offer make_offer(const gateway_service& service, const server_view& view, time_point now) {
     server_offer offer;
     offer.server = view.listed.id;
     offer.in_local_domain = view.listed.failure_domain == service.pool.own_domain;
     const auto present = adjusted_report(view);
     offer.usable = !is_draining(view) && view.state != server_state::ejected &&
-                   view.in_flight.size() < view.connection_share;
+                   view.in_flight.size() < view.connection_share && may_send(view.allowance, now);
     offer.has_free_slot = has_room(present, view.slots);
     offer.has_spare_capacity = is_uncontended(present, view.slots);
     offer.predicted_latency = predicted_time(present, view.slots, expected_response_time(service));
@@ -102,7 +103,7 @@
     const auto facts =
         board.dialect.read_response(reply.result.status, reply.headers, expected_response_time(service));
     view.reports_unhealthy = reply.result.status != status_ok;
-    apply_directives(board, view, facts, "probe");
+    apply_directives(board, view, facts, directive_source::probe);
     if (!facts.report) {
         return;
     }
@@ -126,8 +127,8 @@
     }
 }
 
-void send_probe(gateway_board& board, const routed_service& conf, server_view& view,
-                const waiting_request& it, time_point now) {
+void send_probe(gateway_board& board, const routed_service& conf, server_view& view, time_point now,
+                std::function<void(const http_reply&)> on_reply) {
     view.last_probe = now;
     http_request request;
     request.address = view.listed.address;
@@ -136,11 +137,7 @@
     request.timeout = probe_timeout;
     request.connect_timeout = probe_timeout;
     count(board, "probes_total");
-    fetch(*board.server_http_client, std::move(request), max_probe_response_size,
-          [&board, service = conf.id, number = it.request, purpose = it.purpose,
-           id = view.listed.id](const http_reply& reply) {
-              handle_probe_response(board, service, number, purpose, id, reply);
-          });
+    fetch(*board.server_http_client, std::move(request), max_probe_response_size, std::move(on_reply));
 }
 
 /// Probes up to `wanted` servers that a request has not tried yet, as far as the probe budget allows.
@@ -153,13 +150,37 @@
     const auto n = take_probes(board.probes, wanted);
     for (const auto index :
          pick_candidates(service.pool, it.tried, n, it.prefers_local_domain, now, board.random)) {
-        send_probe(board, *conf, service.pool.servers[index], it, now);
+        auto& view = service.pool.servers[index];
+        send_probe(board, *conf, view, now,
+                   [&board, id = conf->id, number = it.request, purpose = it.purpose,
+                    server = view.listed.id](const http_reply& reply) {
+                       handle_probe_response(board, id, number, purpose, server, reply);
+                   });
         ++it.probes_sent;
         ++it.probes_pending;
         it.last_probe_at = now;
     }
 }
 
+/// True if no server wants a request now, but one will before it is too late for this request.
+bool waits_for_allowance(const gateway_service& service, const waiting_request& it, time_point now) {
+    const auto at = first_request_at(service.pool, it.tried, now);
+    return at > now && at != time_point::max() && at + expected_response_time(service) <= it.deadline;
+}
+
+/// @return when a caller should try again: after the first server takes a request, spread so that callers do
+/// not all return at that moment
+duration retry_after_allowance(gateway_board& board, const gateway_service& service,
+                               const std::vector<server_id>& excluded, time_point now) {
+    const auto at = first_request_at(service.pool, excluded, now);
+    if (at == time_point::max()) {
+        return min_retry_after;
+    }
+    const auto wait = std::clamp<duration>(at - now, min_retry_after, max_retry_after);
+    return wait + duration(static_cast<duration::rep>(random_unit(board.random) *
+                                                      static_cast<double>(wait.count())));
+}
+
 void dispatch_without_probe(gateway_board& board, gateway_service& service, std::size_t position) {
     const auto index =
         choose_server(service.pool, service.waiting[position].tried, boot_clock::now(), board.random);
@@ -168,10 +189,15 @@
         return;
     }
     const auto it = service.waiting[position];
+    const auto now = boot_clock::now();
+    if (waits_for_allowance(service, it, now)) {
+        return;
+    }
     service.waiting.erase(service.waiting.begin() + static_cast<std::ptrdiff_t>(position));
     const auto found = board.requests.find(it.request);
     if (found != board.requests.end()) {
-        fail_unassigned(board, *found->second, it.purpose, "no server can take the request", min_retry_after);
+        fail_unassigned(board, *found->second, it.purpose, "no server can take the request",
+                        retry_after_allowance(board, service, it.tried, now));
     }
 }
 
@@ -221,7 +247,7 @@
     std::vector<std::pair<duration, server_view*>> recent;
     for (auto& view : service.pool.servers) {
         if (now - view.reported_at <= age) {
-            recent.emplace_back(make_offer(service, view).predicted_latency, &view);
+            recent.emplace_back(make_offer(service, view, now).predicted_latency, &view);
         }
     }
     std::sort(recent.begin(), recent.end());
@@ -267,12 +293,19 @@
         fail_unassigned(board, it, purpose, "service has no server", min_retry_after);
         return;
     }
+    const auto now = boot_clock::now();
+    const auto first_at = first_request_at(service.pool, {}, now);
+    if (first_at > now && (first_at == time_point::max() || first_at > it.deadline)) {
+        fail_unassigned(board, it, purpose, "servers want no request in time",
+                        retry_after_allowance(board, service, {}, now));
+        return;
+    }
     waiting_request entry;
     entry.request = it.number;
     entry.purpose = purpose;
     entry.rank = it.matched_route->rank;
     entry.arrived = it.arrived;
-    entry.queued_at = boot_clock::now();
+    entry.queued_at = now;
     entry.prior_attempts_time = it.prior_attempt_time;
     entry.latency_target = it.matched_route->latency_target;
     entry.deadline = it.deadline;
@@ -298,8 +331,9 @@
 
 void assign_waiting_requests(gateway_board& board, gateway_service& service, server_view& view) {
     while (!service.waiting.empty()) {
-        const auto position = select_request(service.waiting, make_offer(service, view),
-                                             expected_response_time(service), boot_clock::now());
+        const auto now = boot_clock::now();
+        const auto position = select_request(service.waiting, make_offer(service, view, now),
+                                             expected_response_time(service), now);
         if (!position) {
             return;
         }
@@ -307,6 +341,23 @@
     }
 }
 
+void probe_limited_servers(gateway_board& board, gateway_service& service, time_point now) {
+    const auto* conf = find_service_config(board, service.pool.service.id);
+    if (conf == nullptr || !service.reports_load) {
+        return;
+    }
+    for (const auto index : limited_servers_to_probe(service.pool, board.peers.fleet_size, now)) {
+        if (take_probes(board.probes, 1) == 0) {
+            return;
+        }
+        auto& view = service.pool.servers[index];
+        send_probe(board, *conf, view, now,
+                   [&board, id = conf->id, server = view.listed.id](const http_reply& reply) {
+                       handle_load_report(board, id, server, reply);
+                   });
+    }
+}
+
 void process_wait_queue(gateway_board& board, gateway_service& service, time_point now) {
     mark_unresponsive_servers(service, now);
     if (service.waiting.empty()) {
