Show by test that VMs cut from the store count as its outage

Cause: what a VM believes of the store comes from the reports of heads. Heads that are cut off make the others take a removal for a lapsed entry, and a server that has left stays in use beyond two seconds.

Change: each VM of the freshness tests has its own link to the store; the two watchers are cut off, then a server's entry is removed at three moments.

--- a/tests/contract/gateway_freshness_test.cpp
+++ b/tests/contract/gateway_freshness_test.cpp
@@ -14,12 +14,14 @@
 /// Four VMs of one failure domain, two of them heads. Calls to the store and pulls from the heads go through
 /// forwarders.
 struct freshness_fixture : gateway_fixture {
-    std::unique_ptr<forwarder> store_link;
+    std::vector<std::unique_ptr<forwarder>> store_links;
     std::vector<std::unique_ptr<forwarder>> relay_links;
 
     gateway_process& add_linked_gateway(const std::string& vm) {
-        auto opened = gateway_process::open(loop.get(), make_settings(vm, store_link->address()),
-                                            platform::make_dialect(store_link->address()));
+        store_links.push_back(std::move(*forwarder::open(store.address())));
+        const auto store_address = store_links.back()->address();
+        auto opened = gateway_process::open(loop.get(), make_settings(vm, store_address),
+                                            platform::make_dialect(store_address));
         EXPECT_TRUE(opened) << (opened ? "" : opened.error().message);
         gateways.push_back(std::move(*opened));
         auto& board = gateways.back()->board();
@@ -31,7 +33,6 @@
 
     /// Starts all VMs and lets each of them pull configuration and servers at least once.
     void start_fleet() {
-        store_link = std::move(*forwarder::open(store.address()));
         put_config("00000001");
         add_target("i-0");
         for (std::size_t i = 0; i < vm_count; ++i) {
@@ -48,6 +49,12 @@
         loop.run_for(1s); // watches that returned these changes wait again
     }
 
+    void silence_store_links() {
+        for (auto& link : store_links) {
+            link->silence_open_connections();
+        }
+    }
+
     /// Bytes of connections that are open now are never delivered; new connections work.
     void silence_relays() {
         for (auto& link : relay_links) {
@@ -101,23 +108,58 @@
         freshness_case{"none", [](freshness_fixture&) {}},
         freshness_case{"watches_hear_nothing", [](freshness_fixture& it) { it.store.mute_watches(); }},
         freshness_case{"open_connections_to_the_store_fall_silent",
-                       [](freshness_fixture& it) { it.store_link->silence_open_connections(); }},
+                       [](freshness_fixture& it) { it.silence_store_links(); }},
         freshness_case{"open_connections_between_vms_fall_silent",
                        [](freshness_fixture& it) { it.silence_relays(); }},
         freshness_case{"all_open_connections_fall_silent",
                        [](freshness_fixture& it) {
-                           it.store_link->silence_open_connections();
+                           it.silence_store_links();
                            it.silence_relays();
                        }},
         freshness_case{"pulls_between_vms_hang", [](freshness_fixture& it) { it.block_relays(); }},
         freshness_case{"heads_are_killed", [](freshness_fixture& it) { it.kill_heads(); }},
         freshness_case{"heads_are_killed_and_open_connections_fall_silent",
                        [](freshness_fixture& it) {
-                           it.store_link->silence_open_connections();
+                           it.silence_store_links();
                            it.silence_relays();
                            it.kill_heads();
                        }}),
     [](const auto& it) { return it.param.name; });
 
+struct cut_case {
+    const char* name;
+    duration before_removal; ///< from the cut to the removal of the server's entry
+};
+
+struct gateway_store_cut : freshness_fixture, testing::WithParamInterface<cut_case> {};
+
+// Guards against a server that left and stays in use, because VMs cut from the store count as its outage.
+TEST_P(gateway_store_cut, removal_is_applied_by_vms_that_are_in_touch) {
+    start_fleet();
+    std::vector<gateway_process*> in_touch;
+    for (std::size_t i = 0; i < gateways.size(); ++i) {
+        if (gateways[i]->board().duties.watches) {
+            store_links[i]->set_mode(forward_mode::hold_both);
+        } else {
+            in_touch.push_back(gateways[i].get());
+        }
+    }
+    ASSERT_EQ(vm_count - heads_per_domain, in_touch.size());
+    loop.run_for(GetParam().before_removal);
+    store.remove("servers", "i-0");
+    EXPECT_TRUE(loop.run_until(
+        [&] {
+            return std::all_of(in_touch.begin(), in_touch.end(), [](auto* it) {
+                return !it->board().registry.entries.contains(server_id("i-0"));
+            });
+        },
+        change_limit));
+}
+
+INSTANTIATE_TEST_SUITE_P(moments, gateway_store_cut,
+                         testing::Values(cut_case{"at_once", 0ms}, cut_case{"while_others_take_over", 1200ms},
+                                         cut_case{"after_others_took_over", 3000ms}),
+                         [](const auto& it) { return it.param.name; });
+
 } // namespace
 } // namespace endivelever::http_test
