Let the VM that reads the store judge whether an entry has expired

Cause: a VM that did not read the store took its state from the reports of heads. Heads cut from the store, or late datagrams, counted as an outage, and a removal in the next 2.2 s as a lapsed entry: callers' requests reached a server more than two seconds after it had left.

Change: only a VM whose own calls failed knows of an outage. It says which missing servers it keeps and how long they have; others follow that. When its calls are answered again while others read the store meanwhile, only this VM was cut off. A VM that takes over adopts an outage that heads have reported for longer than an entry takes to expire. Removals are logged with what became of them and on whose word.

Tests: note_store_failure() takes the time of the call.

--- a/include/endivelever/decide/server_registry.hpp
+++ b/include/endivelever/decide/server_registry.hpp
@@ -20,26 +20,51 @@
 /// servers have had time to register again.
 struct server_registry {
     std::map<server_id, registry_entry> entries;
-    bool loaded = false;                ///< a complete list has been applied
-    bool store_unavailable = false;     ///< the last call to the store failed
-    time_point store_available_since{}; ///< when the store answered again after an outage; default if it
-                                        ///< never failed
+    bool loaded = false;                  ///< a complete list has been applied
+    bool store_unavailable = false;       ///< the last call of this VM to the store failed
+    time_point store_unavailable_since{}; ///< first of the failed calls
+    time_point store_available_since{};   ///< when the store answered again after an outage; default if it
+                                          ///< never failed
 };
 
 /// Time that a server may take to register again once the store answers after an outage. Servers renew their
 /// entry about every 1.5 s, and the platform specifies two seconds.
 constexpr duration reregistration_time = std::chrono::milliseconds(2200);
 
-/// Records that a call to the store failed.
-void note_store_failure(server_registry& registry);
+/// An outage shorter than this expires no entry: servers renew theirs about every 1.5 s, and the store
+/// removes one after three such intervals.
+constexpr duration shortest_expiring_outage = std::chrono::seconds(3);
 
-/// Records that the store answered. After an outage, missing entries get reregistration_time from `now` on.
-void note_store_success(server_registry& registry, time_point now);
+/// Records that a call of this VM to the store failed.
+void note_store_failure(server_registry& registry, time_point now);
+
+/// Records that the store answered this VM. After an outage, missing entries get reregistration_time from
+/// `now` on. A store that served other VMs meanwhile was not away: only this VM was cut off.
+/// @param others_read_at  when other VMs last read the store successfully; default if that is not known
+void note_store_success(server_registry& registry, time_point now, time_point others_read_at = {});
+
+/// Forgets the state of the store, when this VM no longer calls it.
+void forget_store_state(server_registry& registry);
 
 /// Applies a complete list of the registered servers. Entries that are not listed are treated as in
 /// apply_removed().
 void apply_listed(server_registry& registry, const std::vector<registered_server>& listed, time_point now);
 
+/// Servers whose entry is missing and may have expired in an outage, with the time that they have left to
+/// register again. The VM that read the store decides which; others take that over from it.
+using expired_servers = std::map<server_id, duration>;
+
+/// @return the servers whose entries are missing but kept
+expired_servers missing_servers(const server_registry& registry, time_point now);
+
+/// Applies a complete list from a peer. Entries that are not listed are removed, unless the peer keeps them.
+void apply_peer_list(server_registry& registry, const std::vector<registered_server>& listed,
+                     const expired_servers& expired, time_point now);
+
+/// Removes one entry that a peer has reported as removed, or marks it as missing if the peer keeps it.
+void apply_peer_removal(server_registry& registry, const server_id& id, const expired_servers& expired,
+                        time_point now);
+
 /// Adds or replaces one entry.
 void apply_changed(server_registry& registry, const registered_server& server);
 
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -77,9 +77,13 @@
 /// @param source  where the configuration was read, for the log: "list", "watch", "start" or the VM's address
 void apply_routing(gateway_board& board, const stored_object& object, object_revision revision,
                    std::string_view source);
-void apply_server_list(gateway_board& board, const std::vector<stored_object>& objects, object_revision at);
-void apply_server_changes(gateway_board& board, const std::vector<object_change>& changes,
-                          object_revision at);
+/// @param expired  if the list comes from a peer: entries that the peer keeps although they are missing;
+///                 nullptr if this VM read the store
+void apply_server_list(gateway_board& board, const std::vector<stored_object>& objects, object_revision at,
+                       const expired_servers* expired = nullptr);
+/// @param expired  as for apply_server_list()
+void apply_server_changes(gateway_board& board, const std::vector<object_change>& changes, object_revision at,
+                          const expired_servers* expired = nullptr);
 /// Updates the server pools from the registry, the configuration and the peers.
 void update_pools(gateway_board& board);
 
--- a/src/decide/server_registry.cpp
+++ b/src/decide/server_registry.cpp
@@ -1,10 +1,15 @@
 #include "endivelever/decide/server_registry.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace endivelever {
 namespace {
 
+// How long a VM that does not read the store keeps a missing entry while its reader has no contact to the
+// store.
+constexpr duration outage_hold_time = std::chrono::seconds(10);
+
 /// True while an entry may be missing only because its server could not renew it during a store outage.
 bool may_have_expired(const server_registry& registry, time_point now) {
     if (registry.store_unavailable) {
@@ -24,15 +29,22 @@
 
 } // namespace
 
-void note_store_failure(server_registry& registry) {
-    registry.store_unavailable = true;
+void note_store_failure(server_registry& registry, time_point now) {
+    if (!registry.store_unavailable) {
+        registry.store_unavailable = true;
+        registry.store_unavailable_since = now;
+    }
 }
 
-void note_store_success(server_registry& registry, time_point now) {
+void note_store_success(server_registry& registry, time_point now, time_point others_read_at) {
     if (!registry.store_unavailable) {
         return;
     }
     registry.store_unavailable = false;
+    if (others_read_at >= registry.store_unavailable_since && others_read_at != time_point{} &&
+        now - others_read_at < shortest_expiring_outage) {
+        return;
+    }
     registry.store_available_since = now;
     for (auto& it : registry.entries) {
         if (it.second.missing) {
@@ -41,6 +53,58 @@
     }
 }
 
+void forget_store_state(server_registry& registry) {
+    registry.store_unavailable = false;
+    registry.store_available_since = {};
+}
+
+expired_servers missing_servers(const server_registry& registry, time_point now) {
+    expired_servers missing;
+    for (const auto& it : registry.entries) {
+        if (it.second.missing) {
+            // Until the store is back, nobody knows when these servers can register again.
+            missing[it.first] = registry.store_unavailable
+                                    ? outage_hold_time
+                                    : std::max(duration::zero(), it.second.missing_until - now);
+        }
+    }
+    return missing;
+}
+
+void apply_peer_list(server_registry& registry, const std::vector<registered_server>& listed,
+                     const expired_servers& expired, time_point now) {
+    std::set<server_id> present;
+    for (const auto& it : listed) {
+        present.insert(it.id);
+        apply_changed(registry, it);
+    }
+    std::vector<server_id> removed;
+    for (const auto& it : registry.entries) {
+        if (!present.contains(it.first)) {
+            removed.push_back(it.first);
+        }
+    }
+    for (const auto& it : removed) {
+        apply_peer_removal(registry, it, expired, now);
+    }
+    registry.loaded = true;
+}
+
+void apply_peer_removal(server_registry& registry, const server_id& id, const expired_servers& expired,
+                        time_point now) {
+    const auto found = registry.entries.find(id);
+    const auto kept = expired.find(id);
+    if (found == registry.entries.end()) {
+        return;
+    }
+    if (kept == expired.end()) {
+        registry.entries.erase(found);
+    } else if (!found->second.missing) {
+        found->second.missing = true;
+        found->second.missing_until = now + kept->second;
+    }
+}
+
 void apply_listed(server_registry& registry, const std::vector<registered_server>& listed, time_point now) {
     std::set<server_id> present;
     for (const auto& it : listed) {
--- a/src/gateway/peer_sync.cpp
+++ b/src/gateway/peer_sync.cpp
@@ -1,5 +1,6 @@
 #include "endivelever/gateway/controllers.hpp"
 
+#include <algorithm>
 #include <cstring>
 #include <zlib.h>
 
@@ -21,8 +22,9 @@
 constexpr duration slow_pull_time = 300ms;
 constexpr std::size_t max_parallel_pulls = 2;
 constexpr byte_count max_pull_response_size{8UL << 20U};
-// A response contains the time since the store recovered, so a cached one must not be much older than that.
+// A response contains the time that missing servers have left, so a cached one must not be much older.
 constexpr duration cache_lifetime = 100ms;
+constexpr double max_expired_ms = 60'000.0;
 constexpr std::size_t max_decompressed_size = 64UL << 20U;
 
 std::string compress_text(const std::string& text) {
@@ -71,13 +73,14 @@
             changed.push_back({{"name", it.first}, {"removed", false}, {"content", it.second}});
         }
     }
-    const bool recovered = board.registry.store_available_since != time_point{};
-    const json body{
-        {"revision", board.servers_revision.value},
-        {"complete", !is_delta},
-        {"store_away", board.registry.store_unavailable},
-        {"store_back_ms", recovered ? to_milliseconds(now - board.registry.store_available_since) : -1.0},
-        {"changed", std::move(changed)}};
+    json expired = json::object();
+    for (const auto& it : missing_servers(board.registry, now)) {
+        expired[it.first.text] = to_milliseconds(it.second);
+    }
+    const json body{{"revision", board.servers_revision.value},
+                    {"complete", !is_delta},
+                    {"expired_ms", std::move(expired)},
+                    {"changed", std::move(changed)}};
     return compress_text(body.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
@@ -93,19 +96,15 @@
     return changes;
 }
 
-/// Applies the store state reported by the peer. An entry removed close to a store outage may only have
-/// expired, so this VM needs to know when the store recovered.
-void apply_store_state(gateway_board& board, const json& body, time_point now) {
-    if (board.duties.watches) {
-        return;
-    }
-    const double back_ms = body.at("store_back_ms").get<double>();
-    if (body.at("store_away").get<bool>()) {
-        note_store_failure(board.registry);
-    } else if (back_ms >= 0.0) {
-        note_store_success(board.registry, now);
-        board.registry.store_available_since = now - from_milliseconds(back_ms);
+expired_servers read_expired(const json& body) {
+    expired_servers expired;
+    const auto found = body.find("expired_ms");
+    if (found != body.end()) {
+        for (const auto& [name, ms] : found->items()) {
+            expired[server_id(name)] = from_milliseconds(std::clamp(ms.get<double>(), 0.0, max_expired_ms));
+        }
     }
+    return expired;
 }
 
 void apply_servers_response(gateway_board& board, const json& body, const std::string& /*source*/) {
@@ -113,10 +112,10 @@
     if (revision <= board.servers_revision) {
         return;
     }
-    apply_store_state(board, body, boot_clock::now());
     const auto changes = read_changes(body);
+    const auto expired = read_expired(body);
     if (!body.at("complete").get<bool>()) {
-        apply_server_changes(board, changes, revision);
+        apply_server_changes(board, changes, revision, &expired);
         return;
     }
     std::vector<stored_object> objects;
@@ -124,7 +123,7 @@
     for (const auto& it : changes) {
         objects.push_back(it.object);
     }
-    apply_server_list(board, objects, revision);
+    apply_server_list(board, objects, revision, &expired);
 }
 
 void apply_routing_response(gateway_board& board, const json& body, const std::string& source) {
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -137,16 +137,15 @@
     return board.store_unreachable_since;
 }
 
-/// Applies the store state that the heads report. A VM that watches the store relies on its own calls
-/// instead.
-void apply_reported_store_state(gateway_board& board, time_point now) {
-    if (board.duties.watches) {
-        return;
+/// A VM that begins to read the store knows of an outage only what heads reported. One that other VMs have
+/// met only for a moment is a partition of theirs, not an outage.
+void adopt_store_state(gateway_board& board, const peer_duties& before, time_point now) {
+    if (before.watches && !board.duties.watches) {
+        forget_store_state(board.registry);
     }
-    if (head_reaches_store(board.peers, false, now)) {
-        note_store_success(board.registry, now);
-    } else if (board.store_unreachable_since != time_point{}) {
-        note_store_failure(board.registry);
+    const bool takes_over = !before.watches && board.duties.reason == watch_reason::store_unreachable;
+    if (takes_over && now - board.store_unreachable_since >= shortest_expiring_outage) {
+        note_store_failure(board.registry, board.store_unreachable_since);
     }
 }
 
@@ -175,6 +174,7 @@
     const auto before = board.duties;
     update_confirmations(board.peers, own_versions(board));
     board.duties = find_duties(board.peers, before.watches, update_store_unreachable_since(board, now), now);
+    adopt_store_state(board, before, now);
     if (before.watches != board.duties.watches) {
         const auto reason = board.duties.watches ? board.duties.reason : before.reason;
         write_event(board.log, board.duties.watches ? "watch_taken_over" : "watch_handed_over",
@@ -233,7 +233,6 @@
     }
     update_confirmations(board.peers, board.peers.peers.at(status->vm), own_versions(board));
     const bool is_own_head = status->is_head && status->failure_domain == board.conf.failure_domain;
-    apply_reported_store_state(board, now);
     if (is_own_head) {
         if (board.duties.is_head) {
             board.peers.head_heard_at = now;
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -31,7 +31,7 @@
     if (board.registry.store_unavailable) {
         write_event(board.log, "store_regained", {});
     }
-    note_store_success(board.registry, boot_clock::now());
+    note_store_success(board.registry, boot_clock::now(), board.peers.confirmed_at);
 }
 
 void note_store_failure(gateway_board& board, const object_kind& kind, const std::string& cause) {
@@ -39,7 +39,7 @@
         write_event(board.log, "store_lost", {{"kind", kind.text}, {"cause", cause}});
     }
     count(board, "store_failures_total");
-    note_store_failure(board.registry);
+    note_store_failure(board.registry, boot_clock::now());
 }
 
 /// Parses a server entry. Counts and logs an invalid one and returns nothing.
@@ -235,6 +235,24 @@
     }
 }
 
+/// Applies the removal of a server's entry, or an entry that names no server any more.
+void remove_server(gateway_board& board, const stored_object& object, const expired_servers* expired) {
+    const server_id id(object.name);
+    const auto now = boot_clock::now();
+    if (expired != nullptr) {
+        apply_peer_removal(board.registry, id, *expired, now);
+    } else {
+        apply_removed(board.registry, id, now);
+    }
+    const bool kept = board.registry.entries.contains(id);
+    write_event(board.log, "server_entry_removed",
+                {{"server", object.name},
+                 {"kept_as_expired", kept},
+                 {"source", expired == nullptr ? "watch" : "peer"},
+                 {"store_away", board.registry.store_unavailable},
+                 {"revision", static_cast<std::int64_t>(object.mod_revision.value)}});
+}
+
 using list_request_factory = std::function<http_request(const object_kind&, const std::string& after)>;
 using list_callback = std::function<void(const std::vector<stored_object>&, object_revision)>;
 
@@ -313,7 +331,8 @@
     send_status(board, true);
 }
 
-void apply_server_list(gateway_board& board, const std::vector<stored_object>& objects, object_revision at) {
+void apply_server_list(gateway_board& board, const std::vector<stored_object>& objects, object_revision at,
+                       const expired_servers* expired) {
     std::vector<registered_server> listed;
     listed.reserve(objects.size());
     for (const auto& it : objects) {
@@ -321,7 +340,12 @@
             listed.push_back(std::move(*server));
         }
     }
-    apply_listed(board.registry, listed, boot_clock::now());
+    const auto now = boot_clock::now();
+    if (expired != nullptr) {
+        apply_peer_list(board.registry, listed, *expired, now);
+    } else {
+        apply_listed(board.registry, listed, now);
+    }
     board.server_objects.clear();
     for (const auto& it : objects) {
         board.server_objects[it.name] = it.content;
@@ -336,20 +360,17 @@
     send_status(board, true);
 }
 
-void apply_server_changes(gateway_board& board, const std::vector<object_change>& changes,
-                          object_revision at) {
+void apply_server_changes(gateway_board& board, const std::vector<object_change>& changes, object_revision at,
+                          const expired_servers* expired) {
     for (const auto& it : changes) {
         record_server_change(board, it, at);
         if (it.removed) {
-            write_event(board.log, "server_entry_removed",
-                        {{"server", it.object.name},
-                         {"revision", static_cast<std::int64_t>(it.object.mod_revision.value)}});
-            apply_removed(board.registry, server_id(it.object.name), boot_clock::now());
+            remove_server(board, it.object, expired);
         } else if (const auto server = parse_server_entry(board, it.object)) {
-            log_server(board, *server, "watch");
+            log_server(board, *server, expired == nullptr ? "watch" : "peer");
             apply_changed(board.registry, *server);
         } else {
-            apply_removed(board.registry, server_id(it.object.name), boot_clock::now());
+            remove_server(board, it.object, expired);
         }
     }
     board.servers_revision = at;
--- a/tests/unit/server_registry_test.cpp
+++ b/tests/unit/server_registry_test.cpp
@@ -1,6 +1,7 @@
 #include "endivelever/decide/server_registry.hpp"
 
 #include <gtest/gtest.h>
+#include <optional>
 
 namespace endivelever {
 namespace {
@@ -46,7 +47,7 @@
 TEST_P(registry_expiry, waits_for_renewed_entries) {
     server_registry registry;
     apply_listed(registry, {server("a", GetParam().draining)}, start);
-    note_store_failure(registry);
+    note_store_failure(registry, start);
     EXPECT_FALSE(drop_missing(registry, start + 60s));
     note_store_success(registry, start + 60s);
     apply_listed(registry, {}, start + 60s);
@@ -70,12 +71,90 @@
 TEST(server_registry, waits_for_renewal_from_the_end_of_the_outage) {
     server_registry registry;
     apply_listed(registry, {server("a")}, start);
-    note_store_failure(registry);
+    note_store_failure(registry, start);
     apply_removed(registry, server_id("a"), start + 1s);
     note_store_success(registry, start + 20s);
     EXPECT_FALSE(drop_missing(registry, start + 21s));
     EXPECT_TRUE(drop_missing(registry, start + 23s));
 }
 
+struct outage_case {
+    const char* name;
+    duration failed_for;                     ///< calls of this VM fail for so long
+    std::optional<duration> others_read_for; ///< into that time, other VMs read the store
+    bool kept;                               ///< a server missing from the next list
+};
+
+struct store_outage : testing::TestWithParam<outage_case> {};
+
+// Guards against taking the partition of one VM for an outage of the store, and the reverse.
+TEST_P(store_outage, is_told_from_a_partition) {
+    server_registry registry;
+    apply_listed(registry, {server("a")}, start);
+    note_store_failure(registry, start + 10s);
+    note_store_failure(registry, start + 11s);
+    const auto back = start + 10s + GetParam().failed_for;
+    const auto others = GetParam().others_read_for ? start + 10s + *GetParam().others_read_for : time_point{};
+    note_store_success(registry, back, others);
+    apply_listed(registry, {}, back);
+    EXPECT_EQ(GetParam().kept ? 1U : 0U, count_servers(registry));
+    EXPECT_FALSE(registry.store_unavailable);
+}
+
+INSTANTIATE_TEST_SUITE_P(observations, store_outage,
+                         testing::Values(outage_case{"nothing_known_of_others", 2s, std::nullopt, true},
+                                         outage_case{"others_read_before_it_only", 8s, -1s, true},
+                                         outage_case{"others_read_to_the_end", 8s, 7500ms, false},
+                                         outage_case{"others_lost_it_seconds_before_the_end", 8s, 2s, true},
+                                         outage_case{"short_partition", 1s, 500ms, false}),
+                         [](const auto& it) { return it.param.name; });
+
+struct peer_removal_case {
+    const char* name;
+    bool complete_list;
+    bool kept_by_peer;
+    std::size_t at_1s;
+    std::size_t at_3s;
+};
+
+struct peer_removal : testing::TestWithParam<peer_removal_case> {};
+
+// Guards against a VM that judges for itself whether an entry has expired in an outage that it has not seen.
+TEST_P(peer_removal, follows_the_vm_that_read_the_store) {
+    server_registry registry;
+    apply_listed(registry, {server("a"), server("b")}, start);
+    expired_servers expired;
+    if (GetParam().kept_by_peer) {
+        expired[server_id("a")] = 2s;
+    }
+    if (GetParam().complete_list) {
+        apply_peer_list(registry, {server("b")}, expired, start);
+    } else {
+        apply_peer_removal(registry, server_id("a"), expired, start);
+    }
+    drop_missing(registry, start + 1s);
+    EXPECT_EQ(GetParam().at_1s, count_servers(registry));
+    EXPECT_EQ(GetParam().kept_by_peer ? 1U : 0U, missing_servers(registry, start + 1s).size());
+    drop_missing(registry, start + 3s);
+    EXPECT_EQ(GetParam().at_3s, count_servers(registry));
+}
+
+INSTANTIATE_TEST_SUITE_P(removals, peer_removal,
+                         testing::Values(peer_removal_case{"change_gone", false, false, 1, 1},
+                                         peer_removal_case{"change_kept", false, true, 2, 1},
+                                         peer_removal_case{"list_gone", true, false, 1, 1},
+                                         peer_removal_case{"list_kept", true, true, 2, 1}),
+                         [](const auto& it) { return it.param.name; });
+
+// Guards against an outage of the past that is remembered by a VM which no longer reads the store.
+TEST(server_registry, forgets_the_store_with_its_duty) {
+    server_registry registry;
+    apply_listed(registry, {server("a")}, start);
+    note_store_failure(registry, start);
+    forget_store_state(registry);
+    apply_removed(registry, server_id("a"), start + 1s);
+    EXPECT_EQ(0U, count_servers(registry));
+}
+
 } // namespace
 } // namespace endivelever
