--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -24,7 +24,6 @@
 // A peer that is further behind gets the complete list.
 constexpr std::size_t max_logged_changes = 256;
 constexpr unsigned status_ok = 200;
-constexpr unsigned status_not_found = 404;
 constexpr unsigned status_conflict = 409;
 
 void note_store_response(gateway_board& board) {
@@ -364,9 +363,8 @@
                           const expired_servers* expired) {
     for (const auto& it : changes) {
         record_server_change(board, it, at);
-        if (it.removed) {
-            remove_server(board, it.object, expired);
-        } else if (const auto server = parse_server_entry(board, it.object)) {
+        const auto server = it.removed ? std::nullopt : parse_server_entry(board, it.object);
+        if (server) {
             log_server(board, *server, expired == nullptr ? "watch" : "peer");
             apply_changed(board.registry, *server);
         } else {
