Obey Server-Leaving, and Retry-After of a server's refusal

Cause: nothing read either. A server that says it leaves was used for as long as its entry said ready, and one that had asked for a pause got requests, retries, hedges and probes as before.

Change: the adapter decodes both beside the limit. Leaving is recorded by incarnation in the registry, so that no entry, list or peer undoes it; a pause is part of what a server wants from this VM, at most 5 minutes, without probes. Answers of another server (421, or another id) do not count; nonsense is counted and ignored. A limited server that names its limit only in responses is probed first when it takes a request, since only that shows the end.

Tests: server_limit.ends_... now fills the other servers at the end. At idle the choice among servers is free, and one run in three sent nothing to the server that the test looks at; the bound is the same.

--- a/include/endivelever/decide/request_allowance.hpp
+++ b/include/endivelever/decide/request_allowance.hpp
@@ -30,8 +30,12 @@
     double tokens = 0.0;               ///< requests that may be sent now
     time_point credited_at{};          ///< when `tokens` was computed
     bool named_in_probes = false;      ///< probes show the limit too, so one without it ends the limit
+    time_point paused_until{};         ///< the server wants no request and no probe until then
 };
 
+/// A server cannot keep requests away for longer than this with one response.
+constexpr duration max_pause = std::chrono::minutes(5);
+
 /// Rendezvous hashing: order of the VMs for a server, the same on all VMs that know the same VMs.
 fleet_position position_for(const server_id& server, const vm_id& own, const std::vector<vm_id>& others);
 
@@ -54,6 +58,9 @@
 /// True if a request may be sent now.
 bool may_send(const request_allowance& allowance, time_point now);
 
+/// True if the server has asked for a pause that is not over.
+bool is_paused(const request_allowance& allowance, time_point now);
+
 /// Records that a request was sent.
 void note_request_sent(request_allowance& allowance, time_point now);
 
--- a/include/endivelever/decide/server_directives.hpp
+++ b/include/endivelever/decide/server_directives.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "endivelever/base/time.hpp"
+
 #include <optional>
 
 namespace endivelever {
@@ -8,6 +10,9 @@
 struct server_directives {
     /// Requests per second that the server takes from all VMs together; no value if it names no limit.
     std::optional<double> fleet_limit;
+    /// Time for which the server wants no request from this VM, from a refusal.
+    std::optional<duration> pause;
+    bool leaving = false; ///< this incarnation of the server will take no requests any more
 };
 
 } // namespace endivelever
--- a/include/endivelever/decide/server_registry.hpp
+++ b/include/endivelever/decide/server_registry.hpp
@@ -16,10 +16,19 @@
     time_point missing_until{}; ///< the server counts as removed from then on
 };
 
+/// One incarnation of a server.
+struct server_incarnation {
+    socket_address address;
+    std::int64_t start_ms = 0;
+    auto operator<=>(const server_incarnation&) const = default;
+};
+
 /// Servers registered in the object store. Entries that expire during a store outage are kept until their
 /// servers have had time to register again.
 struct server_registry {
     std::map<server_id, registry_entry> entries;
+    /// Incarnations that have said themselves that they leave, whatever their entries say.
+    std::map<server_id, server_incarnation> leaving;
     bool loaded = false;                  ///< a complete list has been applied
     bool store_unavailable = false;       ///< the last call of this VM to the store failed
     time_point store_unavailable_since{}; ///< first of the failed calls
@@ -68,6 +77,14 @@
 /// Adds or replaces one entry.
 void apply_changed(server_registry& registry, const registered_server& server);
 
+/// Most incarnations that are remembered as leaving; beyond it, those without an entry are forgotten.
+constexpr std::size_t max_leaving_servers = 4096;
+
+/// Records that a server has said itself that it leaves. Its entry counts as draining for as long as this
+/// incarnation lives, also when it comes back by a list, from a peer or after an outage.
+/// @return true if that was not known
+bool note_leaving(server_registry& registry, const server_id& id, const server_incarnation& left);
+
 /// Removes one entry. During and shortly after a store outage, an entry of a server that is not draining is
 /// only marked as missing.
 void apply_removed(server_registry& registry, const server_id& id, time_point now);
--- a/include/endivelever/gateway/dialect.hpp
+++ b/include/endivelever/gateway/dialect.hpp
@@ -26,7 +26,8 @@
     bool not_run = false; ///< the server states that it did not run the request
     std::optional<load_report> report;
     server_directives directives;
-    bool invalid_directive = false; ///< a directive was present but could not be read
+    std::optional<server_id> server; ///< server that responded, if it says so
+    bool invalid_directive = false;  ///< a directive was present but could not be read
 };
 
 /// Names, paths and formats specific to one platform. Filled in by the platform adapter.
--- a/src/decide/probe_choice.cpp
+++ b/src/decide/probe_choice.cpp
@@ -41,6 +41,8 @@
 constexpr duration limited_probe_spacing = 60ms;
 constexpr duration min_limited_probe_interval = 1s;
 
+constexpr double trial_cost_factor = 0.1;
+
 // Up to this slowdown a server counts as running at its usual speed.
 constexpr double max_usual_slowdown = 1.3;
 
@@ -81,6 +83,12 @@
     return factor;
 }
 
+/// Prefers a server whose limit shows only in responses to requests: one of those that it allows has to find
+/// out that the limit has ended.
+double trial_factor(const server_view& view) {
+    return view.allowance.fleet_limit && !view.allowance.named_in_probes ? trial_cost_factor : 1.0;
+}
+
 double domain_factor(const server_pool& pool, const server_view& view, bool prefer_own_domain) {
     if (view.listed.failure_domain == pool.own_domain) {
         return 1.0;
@@ -127,7 +135,7 @@
             !may_send(view.allowance, now) || contains(excluded, view.listed.id)) {
             continue;
         }
-        const double cost = reported_factor(view, now) * state_factor(view, now) *
+        const double cost = reported_factor(view, now) * state_factor(view, now) * trial_factor(view) *
                             domain_factor(pool, view, prefer_own_domain) *
                             (view.in_subset ? 1.0 : outside_subset_factor) *
                             (1.0 + cost_jitter * random_unit(random));
@@ -149,7 +157,8 @@
     std::vector<server_index> due;
     for (server_index i = 0; i < pool.servers.size(); ++i) {
         const auto& view = pool.servers[i];
-        if (!is_draining(view) && view.allowance.fleet_limit && now - view.last_probe >= interval) {
+        if (!is_draining(view) && view.allowance.fleet_limit && !is_paused(view.allowance, now) &&
+            now - view.last_probe >= interval) {
             due.push_back(i);
         }
     }
--- a/src/decide/request_allowance.cpp
+++ b/src/decide/request_allowance.cpp
@@ -50,11 +50,17 @@
 
 bool apply_directives(request_allowance& allowance, const server_directives& said, directive_source source,
                       const fleet_position& position, double phase, time_point now) {
+    if (said.pause) {
+        allowance.paused_until =
+            std::max(allowance.paused_until, now + std::clamp(*said.pause, duration::zero(), max_pause));
+    }
     if (!said.fleet_limit) {
         const bool ends =
             allowance.fleet_limit && (source == directive_source::response || allowance.named_in_probes);
         if (ends) {
+            const auto paused_until = allowance.paused_until;
             allowance = {};
+            allowance.paused_until = paused_until;
         }
         return ends;
     }
@@ -69,19 +75,24 @@
     return changed;
 }
 
+bool is_paused(const request_allowance& allowance, time_point now) {
+    return now < allowance.paused_until;
+}
+
 time_point next_request_at(const request_allowance& allowance, time_point now) {
+    const auto pause_end = std::max(now, allowance.paused_until);
     if (!allowance.fleet_limit) {
-        return now;
+        return pause_end;
     }
     const double missing = 1.0 - tokens_at(allowance, now);
     if (missing <= 0.0) {
-        return now;
+        return pause_end;
     }
     constexpr double foreseeable_seconds = 3600.0;
     if (missing > allowance.rate * foreseeable_seconds) {
         return time_point::max();
     }
-    return now + from_milliseconds(std::ceil(1000.0 * missing / allowance.rate));
+    return std::max(pause_end, now + from_milliseconds(std::ceil(1000.0 * missing / allowance.rate)));
 }
 
 bool may_send(const request_allowance& allowance, time_point now) {
--- a/src/decide/server_registry.cpp
+++ b/src/decide/server_registry.cpp
@@ -125,7 +125,37 @@
 }
 
 void apply_changed(server_registry& registry, const registered_server& server) {
-    registry.entries[server.id] = {server, false, {}};
+    auto& entry = registry.entries[server.id];
+    entry = {server, false, {}};
+    const auto left = registry.leaving.find(server.id);
+    if (left == registry.leaving.end()) {
+        return;
+    }
+    if (left->second == server_incarnation{server.address, server.start_ms}) {
+        entry.server.draining = true;
+    } else {
+        registry.leaving.erase(left); // the next incarnation has taken its place
+    }
+}
+
+bool note_leaving(server_registry& registry, const server_id& id, const server_incarnation& left) {
+    const auto known = registry.leaving.find(id);
+    if (known != registry.leaving.end() && known->second == left) {
+        return false;
+    }
+    if (registry.leaving.size() >= max_leaving_servers) {
+        std::erase_if(registry.leaving, [&](const auto& it) { return !registry.entries.contains(it.first); });
+    }
+    if (registry.leaving.size() >= max_leaving_servers) {
+        registry.leaving.erase(registry.leaving.begin());
+    }
+    registry.leaving[id] = left;
+    const auto entry = registry.entries.find(id);
+    if (entry != registry.entries.end() && entry->second.server.address == left.address &&
+        entry->second.server.start_ms == left.start_ms) {
+        entry->second.server.draining = true;
+    }
+    return true;
 }
 
 void apply_removed(server_registry& registry, const server_id& id, time_point now) {
--- a/src/gateway/directives.cpp
+++ b/src/gateway/directives.cpp
@@ -16,29 +16,52 @@
     return vms;
 }
 
+void log_limit(gateway_board& board, const server_view& view, const fleet_position& position,
+               directive_source source) {
+    write_event(board.log, "server_limit",
+                {{"server", view.listed.id.text},
+                 {"limited", view.allowance.fleet_limit.has_value()},
+                 {"requests_per_second", view.allowance.fleet_limit.value_or(0.0)},
+                 {"own_share", view.allowance.rate},
+                 {"position", static_cast<std::int64_t>(position.position)},
+                 {"source", source == directive_source::probe ? "probe" : "response"}});
+}
+
+/// Stops the use of a server that says it leaves, at once and for as long as this incarnation lives.
+void apply_leaving(gateway_board& board, server_view& view) {
+    // The registry confirms this bit with each update of the pool; load reports reset their own.
+    view.drain_sources |= static_cast<std::uint8_t>(drain_source::vm_list);
+    if (note_leaving(board.registry, view.listed.id, {view.listed.address, view.listed.start_ms})) {
+        write_event(board.log, "server_leaving", {{"server", view.listed.id.text}});
+    }
+}
+
 } // namespace
 
 void apply_directives(gateway_board& board, server_view& view, const response_metadata& facts,
                       directive_source source) {
+    if (facts.server && *facts.server != view.listed.id) {
+        return;
+    }
     if (facts.invalid_directive) {
         count(board, "server_directives_invalid_total");
-        return;
     }
-    if (!facts.directives.fleet_limit && !view.allowance.fleet_limit) {
+    const auto& said = facts.directives;
+    if (said.leaving) {
+        apply_leaving(board, view);
+    }
+    const bool is_unreadable = facts.invalid_directive && !said.pause;
+    if (is_unreadable || (!said.fleet_limit && !said.pause && !view.allowance.fleet_limit)) {
         return;
     }
     const auto now = boot_clock::now();
     const auto position = position_for(view.listed.id, board.conf.vm, other_vms(board, now));
-    const bool changed =
-        apply_directives(view.allowance, facts.directives, source, position, random_unit(board.random), now);
-    if (changed) {
-        write_event(board.log, "server_limit",
-                    {{"server", view.listed.id.text},
-                     {"limited", view.allowance.fleet_limit.has_value()},
-                     {"requests_per_second", view.allowance.fleet_limit.value_or(0.0)},
-                     {"own_share", view.allowance.rate},
-                     {"position", static_cast<std::int64_t>(position.position)},
-                     {"source", source == directive_source::probe ? "probe" : "response"}});
+    if (said.pause) {
+        write_event(board.log, "server_pause",
+                    {{"server", view.listed.id.text}, {"pause_ms", to_milliseconds(*said.pause)}});
+    }
+    if (apply_directives(view.allowance, said, source, position, random_unit(board.random), now)) {
+        log_limit(board, view, position, source);
     }
 }
 
--- a/tests/contract/server_directives_test.cpp
+++ b/tests/contract/server_directives_test.cpp
@@ -86,6 +86,7 @@
     limited.directives = {{"Server-Limit", std::to_string(GetParam().limit)}};
     run_load(2s);
     limited.directives.clear();
+    targets[1]->load = targets[2]->load = "4,0,4,100"; // no room elsewhere
     const auto before = limited.arrivals.size();
     run_load(6s);
     EXPECT_GT(limited.arrivals.size(), before + 20);
@@ -97,5 +98,69 @@
                                          server_limit_case{"below_one", 0.6, true}),
                          [](const auto& it) { return it.param.name; });
 
+constexpr duration drain_limit = 2s;
+
+// Guards against requests to a server that says it leaves while its entry, also one that comes again, says
+// `ready`.
+TEST_F(directives_fixture, leaving_server_gets_no_requests) {
+    start_fleet();
+    auto& leaving = *targets.front();
+    leaving.directives = {{"Server-Leaving", "1"}};
+    run_load(drain_limit);
+    const auto before = leaving.arrivals.size();
+    EXPECT_LE(before, gateways.size() * 3) << "each VM learns it from its first responses";
+    store.put("servers", "i-0", leaving.entry("desk"));
+    store.forget_history();
+    store.cut_watches();
+    run_load(2s);
+    EXPECT_EQ(before, leaving.arrivals.size());
+    EXPECT_EQ(0U, failed_calls());
+    leaving.directives.clear();
+    auto restarted = leaving.entry("desk");
+    restarted["born"] = 1700000009999;
+    store.put("servers", "i-0", restarted);
+    targets[1]->load = targets[2]->load = "4,0,4,100"; // no room elsewhere
+    run_load(3s);
+    EXPECT_LT(before, leaving.arrivals.size()) << "the next incarnation is another server";
+}
+
+// Guards against requests to a server that has asked for a pause, from hedges and retries too.
+TEST_F(directives_fixture, pause_of_a_server_is_kept) {
+    start(3);
+    auto& busy = *targets.front();
+    busy.behaviour = fake_target::manner::sheds;
+    busy.directives = {{"Retry-After", "3"}};
+    busy.directives_in_probes = false;
+    targets[1]->load = targets[2]->load = "3,0,4,100"; // nearly full, so that the other one is chosen first
+    run_load(1s);
+    ASSERT_FALSE(busy.arrivals.empty());
+    const auto first = busy.arrivals.front();
+    run_load(2s);
+    const auto in_pause = std::count_if(busy.arrivals.begin(), busy.arrivals.end(),
+                                        [&](time_point it) { return it > first + 500ms && it < first + 3s; });
+    EXPECT_LE(in_pause, 2);
+    EXPECT_EQ(0U, failed_calls());
+}
+
+// Guards against callers that wait for a service whose servers have all asked for a pause.
+TEST_F(directives_fixture, service_in_pause_refuses_at_once_with_the_time_of_its_return) {
+    auto& gateway = start(2);
+    for (auto& it : targets) {
+        it->behaviour = fake_target::manner::sheds;
+        it->directives = {{"Retry-After", "20"}};
+    }
+    for (int i = 0; i < 4; ++i) {
+        call(gateway, "/once/x", "first-" + std::to_string(i));
+    }
+    const auto started = boot_clock::now();
+    const auto& refused = call(gateway, "/once/x", "later");
+    EXPECT_EQ(503U, refused.status);
+    EXPECT_LT(boot_clock::now() - started, 300ms);
+    const auto* after = find_header(refused.headers, "Retry-After");
+    ASSERT_NE(nullptr, after);
+    EXPECT_GE(std::stod(*after), 5.0);
+    EXPECT_EQ(0U, run_count());
+}
+
 } // namespace
 } // namespace endivelever::http_test
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -124,6 +124,60 @@
     EXPECT_FALSE(read_response(504, {}, {}).not_run);
 }
 
+struct pause_case {
+    const char* name;
+    unsigned status;
+    const char* text;
+    std::optional<duration> pause;
+    bool invalid;
+};
+
+struct server_pause : testing::TestWithParam<pause_case> {};
+
+// Guards against a pause that is not read, and against nonsense that takes a server out of use.
+TEST_P(server_pause, is_read_from_refusals) {
+    const auto& it = GetParam();
+    const auto facts = read_response(it.status, {{"Retry-After", it.text}, {"X-Instance-Id", "i-7"}}, {});
+    EXPECT_EQ(it.pause, facts.directives.pause);
+    EXPECT_EQ(it.invalid, facts.invalid_directive);
+    EXPECT_EQ(server_id("i-7"), facts.server);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    texts, server_pause,
+    testing::Values(pause_case{"whole", 503, "2", std::chrono::seconds(2), false},
+                    pause_case{"fraction", 503, "0.5", std::chrono::milliseconds(500), false},
+                    pause_case{"not_a_503", 429, "2", std::nullopt, false},
+                    pause_case{"negative", 503, "-2", std::nullopt, true},
+                    pause_case{"huge", 503, "1e300", std::nullopt, true},
+                    pause_case{"date", 503, "Wed, 21 Oct 2026 07:28:00 GMT", std::nullopt, true},
+                    pause_case{"empty", 503, "", std::nullopt, true}),
+    [](const auto& it) { return it.param.name; });
+
+struct leaving_case {
+    const char* name;
+    unsigned status;
+    const char* header;
+    const char* text;
+    bool leaving;
+};
+
+struct server_leaving : testing::TestWithParam<leaving_case> {};
+
+// Guards against a server that leaves and says so only in its responses.
+TEST_P(server_leaving, is_read_from_responses) {
+    const auto& it = GetParam();
+    EXPECT_EQ(it.leaving, read_response(it.status, {{it.header, it.text}}, {}).directives.leaving);
+}
+
+INSTANTIATE_TEST_SUITE_P(texts, server_leaving,
+                         testing::Values(leaving_case{"success", 200, "Server-Leaving", "1", true},
+                                         leaving_case{"refusal_other_case", 503, "server-leaving", "1", true},
+                                         leaving_case{"zero", 200, "Server-Leaving", "0", false},
+                                         leaving_case{"of_another_server", 421, "Server-Leaving", "1", false},
+                                         leaving_case{"absent", 200, "Other", "1", false}),
+                         [](const auto& it) { return it.param.name; });
+
 struct limit_case {
     const char* name;
     unsigned status;
--- a/tests/unit/request_allowance_test.cpp
+++ b/tests/unit/request_allowance_test.cpp
@@ -15,6 +15,12 @@
     return vm_id("vm-" + std::to_string(index));
 }
 
+server_directives limit_of(std::optional<double> requests_per_second) {
+    server_directives said;
+    said.fleet_limit = requests_per_second;
+    return said;
+}
+
 /// Place of one VM in a fleet of which it does not know every `unknown`th other VM; 0 means it knows all.
 fleet_position place_of(std::size_t own, std::size_t vms, std::size_t unknown) {
     std::vector<vm_id> others;
@@ -52,7 +58,8 @@
             if (is_told && may_send(it, now)) {
                 note_request_sent(it, now);
                 const double phase = static_cast<double>(i) / static_cast<double>(param.vms);
-                apply_directives(it, {param.limit}, directive_source::response, places[i], phase, now);
+                apply_directives(it, limit_of(param.limit), directive_source::response, places[i], phase,
+                                 now);
                 sent.push_back(now);
             }
         }
@@ -95,7 +102,7 @@
 TEST_P(limit_end, follows_what_the_server_says) {
     request_allowance it;
     for (const auto& answer : GetParam().answers) {
-        apply_directives(it, {answer.limit}, answer.source, {0, 4}, 0.0, start);
+        apply_directives(it, limit_of(answer.limit), answer.source, {0, 4}, 0.0, start);
     }
     EXPECT_EQ(GetParam().limited, it.fleet_limit.has_value());
 }
@@ -117,15 +124,40 @@
                  false}),
     [](const auto& it) { return it.param.name; });
 
+struct pause_case {
+    const char* name;
+    duration said;
+    duration expected;
+};
+
+struct pause : testing::TestWithParam<pause_case> {};
+
+// Guards against requests during a pause, and against a pause without end.
+TEST_P(pause, is_kept_and_bounded) {
+    request_allowance it;
+    server_directives said;
+    said.pause = GetParam().said;
+    apply_directives(it, said, directive_source::response, {0, 4}, 0.0, start);
+    apply_directives(it, {}, directive_source::response, {0, 4}, 0.0, start);
+    EXPECT_EQ(start + GetParam().expected, next_request_at(it, start));
+    EXPECT_FALSE(is_paused(it, start + GetParam().expected));
+    EXPECT_EQ(GetParam().expected == duration::zero(), may_send(it, start));
+}
+
+INSTANTIATE_TEST_SUITE_P(times, pause,
+                         testing::Values(pause_case{"usual", 2s, 2s}, pause_case{"none", 0s, 0s},
+                                         pause_case{"huge", 999999s, max_pause}),
+                         [](const auto& it) { return it.param.name; });
+
 // Guards against a limit of zero that is taken for no limit, and against a wait without end for its next
 // request.
 TEST(request_allowance, limit_of_zero_allows_nothing) {
     request_allowance it;
     EXPECT_TRUE(may_send(it, start));
-    apply_directives(it, {0.0}, directive_source::probe, {0, 1}, 0.0, start);
+    apply_directives(it, limit_of(0.0), directive_source::probe, {0, 1}, 0.0, start);
     EXPECT_FALSE(may_send(it, start + 3600s));
     EXPECT_EQ(time_point::max(), next_request_at(it, start));
-    apply_directives(it, {2.0}, directive_source::probe, {0, 1}, 0.0, start);
+    apply_directives(it, limit_of(2.0), directive_source::probe, {0, 1}, 0.0, start);
     const auto next = next_request_at(it, start);
     EXPECT_GT(next, start);
     EXPECT_LE(next, start + 1s);
--- a/tests/unit/server_registry_test.cpp
+++ b/tests/unit/server_registry_test.cpp
@@ -156,5 +156,63 @@
     EXPECT_EQ(0U, count_servers(registry));
 }
 
+struct leaving_case {
+    const char* name;
+    void (*then)(server_registry&, const registered_server&);
+    bool draining;
+};
+
+struct leaving_server : testing::TestWithParam<leaving_case> {};
+
+// Guards against a server that said it leaves and is used again because its entry says otherwise.
+TEST_P(leaving_server, stays_out_of_use_while_it_lives) {
+    server_registry registry;
+    auto it = server("a");
+    it.address = socket_address("10.0.0.1:80");
+    it.start_ms = 1000;
+    apply_listed(registry, {it}, start);
+    EXPECT_TRUE(note_leaving(registry, it.id, {it.address, it.start_ms}));
+    EXPECT_FALSE(note_leaving(registry, it.id, {it.address, it.start_ms}));
+    GetParam().then(registry, it);
+    const auto known = servers_of(registry, service_id("desk"));
+    ASSERT_EQ(1U, known.size());
+    EXPECT_EQ(GetParam().draining, known.front().draining);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    entries, leaving_server,
+    testing::Values(leaving_case{"nothing", [](server_registry&, const registered_server&) {}, true},
+                    leaving_case{"changed_to_ready",
+                                 [](server_registry& registry, const registered_server& it) {
+                                     apply_changed(registry, it);
+                                 },
+                                 true},
+                    leaving_case{"listed_as_ready",
+                                 [](server_registry& registry, const registered_server& it) {
+                                     apply_listed(registry, {it}, start + 1s);
+                                 },
+                                 true},
+                    leaving_case{"removed_and_back",
+                                 [](server_registry& registry, const registered_server& it) {
+                                     apply_removed(registry, it.id, start + 1s);
+                                     apply_peer_list(registry, {it}, {}, start + 2s);
+                                 },
+                                 true},
+                    leaving_case{"started_again",
+                                 [](server_registry& registry, registered_server const& it) {
+                                     auto next = it;
+                                     next.start_ms = 2000;
+                                     apply_changed(registry, next);
+                                 },
+                                 false},
+                    leaving_case{"at_another_address",
+                                 [](server_registry& registry, registered_server const& it) {
+                                     auto next = it;
+                                     next.address = socket_address("10.0.0.2:80");
+                                     apply_changed(registry, next);
+                                 },
+                                 false}),
+    [](const auto& it) { return it.param.name; });
+
 } // namespace
 } // namespace endivelever
