Tell an outage from a partition by the gap in all reads

Cause: of two VMs that regain the store after an outage, the second one heard that the first had just read it, took the outage for a partition of its own, and would have dropped servers whose entries had lapsed.

Change: an outage is confirmed when no VM has read the store for 2 s while this VM's calls fail; an outage of 3 s is the shortest that expires an entry, and it is noticed within a second. Also: a refusal is spread only when it names the time of a server's return.

Tests: the table store_outage plays the reads of others over time instead of one moment; its cases are kept and two added.

--- a/include/endivelever/decide/server_registry.hpp
+++ b/include/endivelever/decide/server_registry.hpp
@@ -32,6 +32,7 @@
     bool loaded = false;                  ///< a complete list has been applied
     bool store_unavailable = false;       ///< the last call of this VM to the store failed
     time_point store_unavailable_since{}; ///< first of the failed calls
+    bool outage_confirmed = false;        ///< since then, nobody has read it for shortest_expiring_outage
     time_point store_available_since{};   ///< when the store answered again after an outage; default if it
                                           ///< never failed
 };
@@ -40,18 +41,21 @@
 /// entry about every 1.5 s, and the platform specifies two seconds.
 constexpr duration reregistration_time = std::chrono::milliseconds(2200);
 
-/// An outage shorter than this expires no entry: servers renew theirs about every 1.5 s, and the store
-/// removes one after three such intervals.
-constexpr duration shortest_expiring_outage = std::chrono::seconds(3);
+/// An outage that is seen for less than this expires no entry: servers renew theirs about every 1.5 s, the
+/// store removes one after three such intervals, and an outage is noticed within a second.
+constexpr duration shortest_expiring_outage = std::chrono::seconds(2);
 
 /// Records that a call of this VM to the store failed.
 void note_store_failure(server_registry& registry, time_point now);
 
 /// Records that the store answered this VM. After an outage, missing entries get reregistration_time from
-/// `now` on. A store that served other VMs meanwhile was not away: only this VM was cut off.
+/// `now` on. If other VMs read the store all the time, it was not away: only this VM was cut off.
 /// @param others_read_at  when other VMs last read the store successfully; default if that is not known
 void note_store_success(server_registry& registry, time_point now, time_point others_read_at = {});
 
+/// Notes, while calls of this VM fail, whether other VMs still read the store. Called regularly.
+void observe_other_reads(server_registry& registry, time_point others_read_at, time_point now);
+
 /// Forgets the state of the store, when this VM no longer calls it.
 void forget_store_state(server_registry& registry);
 
--- a/src/decide/server_registry.cpp
+++ b/src/decide/server_registry.cpp
@@ -33,6 +33,14 @@
     if (!registry.store_unavailable) {
         registry.store_unavailable = true;
         registry.store_unavailable_since = now;
+        registry.outage_confirmed = false;
+    }
+}
+
+void observe_other_reads(server_registry& registry, time_point others_read_at, time_point now) {
+    const auto last_read = std::max(registry.store_unavailable_since, others_read_at);
+    if (registry.store_unavailable && now - last_read >= shortest_expiring_outage) {
+        registry.outage_confirmed = true;
     }
 }
 
@@ -41,8 +49,9 @@
         return;
     }
     registry.store_unavailable = false;
-    if (others_read_at >= registry.store_unavailable_since && others_read_at != time_point{} &&
-        now - others_read_at < shortest_expiring_outage) {
+    const bool others_read =
+        others_read_at != time_point{} && others_read_at >= registry.store_unavailable_since;
+    if (others_read && !registry.outage_confirmed) {
         return;
     }
     registry.store_available_since = now;
--- a/src/gateway/maintenance.cpp
+++ b/src/gateway/maintenance.cpp
@@ -65,6 +65,7 @@
     }
     credit_probes(board.probes, board.conf.probes_per_server_per_second, servers, board.peers.fleet_size,
                   now);
+    observe_other_reads(board.registry, board.peers.confirmed_at, now);
     if (drop_missing(board.registry, now)) {
         update_pools(board);
     }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -173,7 +173,7 @@
 duration retry_after_allowance(gateway_board& board, const gateway_service& service,
                                const std::vector<server_id>& excluded, time_point now) {
     const auto at = first_request_at(service.pool, excluded, now);
-    if (at == time_point::max()) {
+    if (at <= now || at == time_point::max()) {
         return min_retry_after;
     }
     const auto wait = std::clamp<duration>(at - now, min_retry_after, max_retry_after);
--- a/tests/unit/server_registry_test.cpp
+++ b/tests/unit/server_registry_test.cpp
@@ -80,33 +80,46 @@
 
 struct outage_case {
     const char* name;
-    duration failed_for;                     ///< calls of this VM fail for so long
-    std::optional<duration> others_read_for; ///< into that time, other VMs read the store
-    bool kept;                               ///< a server missing from the next list
+    duration failed_for; ///< calls of this VM fail for so long
+    /// Other VMs read the store until the first and again from the second, relative to the first failed call.
+    std::optional<duration> others_read_until;
+    std::optional<duration> others_read_from;
+    bool kept; ///< a server missing from the next list
 };
 
 struct store_outage : testing::TestWithParam<outage_case> {};
 
 // Guards against taking the partition of one VM for an outage of the store, and the reverse.
 TEST_P(store_outage, is_told_from_a_partition) {
+    const auto& param = GetParam();
+    const auto failed_at = start + 10s;
     server_registry registry;
     apply_listed(registry, {server("a")}, start);
-    note_store_failure(registry, start + 10s);
-    note_store_failure(registry, start + 11s);
-    const auto back = start + 10s + GetParam().failed_for;
-    const auto others = GetParam().others_read_for ? start + 10s + *GetParam().others_read_for : time_point{};
-    note_store_success(registry, back, others);
+    time_point others_read_at{};
+    for (duration passed = -1s; passed < param.failed_for; passed += 100ms) {
+        const bool reads = (param.others_read_until && passed <= *param.others_read_until) ||
+                           (param.others_read_from && passed >= *param.others_read_from);
+        others_read_at = reads ? failed_at + passed : others_read_at;
+        if (passed >= duration::zero()) {
+            note_store_failure(registry, failed_at + passed);
+            observe_other_reads(registry, others_read_at, failed_at + passed);
+        }
+    }
+    const auto back = failed_at + param.failed_for;
+    note_store_success(registry, back, others_read_at);
     apply_listed(registry, {}, back);
-    EXPECT_EQ(GetParam().kept ? 1U : 0U, count_servers(registry));
+    EXPECT_EQ(param.kept ? 1U : 0U, count_servers(registry));
     EXPECT_FALSE(registry.store_unavailable);
 }
 
 INSTANTIATE_TEST_SUITE_P(observations, store_outage,
-                         testing::Values(outage_case{"nothing_known_of_others", 2s, std::nullopt, true},
-                                         outage_case{"others_read_before_it_only", 8s, -1s, true},
-                                         outage_case{"others_read_to_the_end", 8s, 7500ms, false},
-                                         outage_case{"others_lost_it_seconds_before_the_end", 8s, 2s, true},
-                                         outage_case{"short_partition", 1s, 500ms, false}),
+                         testing::Values(outage_case{"nothing_known_of_others", 2s, {}, {}, true},
+                                         outage_case{"others_read_before_it_only", 8s, -500ms, {}, true},
+                                         outage_case{"others_read_all_the_time", 8s, 8s, {}, false},
+                                         outage_case{"others_lost_it_later", 8s, 2s, {}, true},
+                                         outage_case{"others_read_again_first", 8s, -500ms, 7700ms, true},
+                                         outage_case{"others_took_over_the_watch", 8s, -500ms, 1300ms, false},
+                                         outage_case{"short_partition", 1s, 500ms, {}, false}),
                          [](const auto& it) { return it.param.name; });
 
 struct peer_removal_case {
