Keep the fields that VMs of earlier builds require in pulls

Cause: found while reading the diff: an earlier build treats a response without store_away and store_back_ms as unreadable, so in a rolling upgrade it could not take server entries from a new VM.

Change: both are sent; this build does not read them.

--- a/src/gateway/peer_sync.cpp
+++ b/src/gateway/peer_sync.cpp
@@ -77,9 +77,12 @@
     for (const auto& it : missing_servers(board.registry, now)) {
         expired[it.first.text] = to_milliseconds(it.second);
     }
+    // VMs of earlier builds require the two fields about the store.
     const json body{{"revision", board.servers_revision.value},
                     {"complete", !is_delta},
                     {"expired_ms", std::move(expired)},
+                    {"store_away", board.registry.store_unavailable},
+                    {"store_back_ms", -1.0},
                     {"changed", std::move(changed)}};
     return compress_text(body.dump(-1, ' ', false, json::error_handler_t::replace));
 }
