Let a planned stop cut no request

Cause: the exit was the only limit of a stop. Nothing compared it with the time that a request may take, idle connections stayed open, and requests that waited for a server were dropped.

Change: decide/graceful_stop plans the stop. When callers have forgotten the address, or after half of the grace period, only requests whose time limit ends before the exit are sent to a server; others are refused at once, so that callers go to another VM while they still have time. The server drains: it accepts waiting connections, closes idle ones and reads no further requests; a request that crosses the close stays unread. All open requests have a response before the exit. endivelever-entry refuses calls that could outlast it in the same way.

--- a/include/endivelever/entry/board.hpp
+++ b/include/endivelever/entry/board.hpp
@@ -4,12 +4,14 @@
 #include "endivelever/base/random.hpp"
 #include "endivelever/config/in_force.hpp"
 #include "endivelever/decide/document_table.hpp"
+#include "endivelever/decide/graceful_stop.hpp"
 #include "endivelever/decide/retry.hpp"
 #include "endivelever/entry/call.hpp"
 #include "endivelever/trace/span_ring.hpp"
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace endivelever {
@@ -43,8 +45,7 @@
     std::unordered_map<call_number, std::unique_ptr<call>> calls;
     call_number last_call = 0;
     time_point last_review{};
-    bool stopping = false;
-    time_point stop_began{};
+    std::optional<graceful_stop> stop; ///< planned stop in progress
 
     std::unique_ptr<http_client> client;
     std::unique_ptr<http_server> callers;
--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -4,6 +4,7 @@
 #include "endivelever/base/event_log.hpp"
 #include "endivelever/base/histogram.hpp"
 #include "endivelever/base/random.hpp"
+#include "endivelever/decide/graceful_stop.hpp"
 #include "endivelever/decide/peer_table.hpp"
 #include "endivelever/decide/probe_choice.hpp"
 #include "endivelever/decide/retry.hpp"
@@ -16,6 +17,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace endivelever {
@@ -99,8 +101,7 @@
     histogram latency;               ///< from the request head to the final response
     time_point medians_updated_at{}; ///< when the median response times were last computed
     probe_budget probes;
-    bool stopping = false;
-    time_point stop_started_at{};
+    std::optional<graceful_stop> stop; ///< planned stop in progress
 
     std::unique_ptr<http_client> server_http_client; ///< client for requests and probes
     std::unique_ptr<http_client> store_http_client;  ///< client for the object store
@@ -118,6 +119,10 @@
 /// True if this VM can serve requests: configuration and servers are loaded and it is not stopping.
 bool is_ready(const gateway_board& board);
 
+/// True if a request with this deadline may be sent to a server now. During a planned stop, requests that
+/// could outlast the process are not.
+bool accepts_request(const gateway_board& board, time_point now, time_point deadline);
+
 /// Increments the counter "gateway_" + `series`.
 void count(gateway_board& board, const std::string& series);
 
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -111,5 +111,7 @@
 /// Ends requests whose deadline has passed, updates server states, hedges late requests and processes the
 /// wait queues. Called every few milliseconds while requests are open.
 void run_maintenance(gateway_board& board);
+/// Ends all open requests at the end of a planned stop.
+void end_open_requests(gateway_board& board);
 
 } // namespace endivelever
--- a/include/endivelever/net/http_server.hpp
+++ b/include/endivelever/net/http_server.hpp
@@ -81,10 +81,15 @@
 
     [[nodiscard]] virtual std::uint16_t port() const = 0;
     [[nodiscard]] virtual std::size_t open_exchanges() const = 0;
+    [[nodiscard]] virtual std::size_t open_connections() const = 0;
     /// Sends "Connection: close" with every further response; new connections are still accepted.
     virtual void announce_close() = 0;
     /// Closes the listening socket and sends "Connection: close" with every further response.
     virtual void stop_accepting() = 0;
+    /// Like stop_accepting(), but accepts the connections that wait in the queue of the listening socket, and
+    /// reads no request after those that have begun. The concurrent server closes each connection after the
+    /// response to its last request, idle ones at once; the sequential server keeps idle ones open.
+    virtual void drain() = 0;
 
   protected:
     http_server() = default;
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -32,7 +32,7 @@
         }
     }
     // An entry without a lease refuses calls, so it does not name itself.
-    if (!board.stopping && may_serve(board, boot_clock::now())) {
+    if (!board.stop && may_serve(board, boot_clock::now())) {
         serving.push_back(own_record(board));
     }
     return serving;
@@ -102,7 +102,7 @@
                      {"preset_version", board.applied.value},
                      {"lease_ms", lease_ms},
                      {"serving", may_serve(board, now)},
-                     {"stopping", board.stopping},
+                     {"stopping", board.stop.has_value()},
                      {"open_calls", board.calls.size()},
                      {"members", board.members.size()},
                      {"services", services}};
--- a/src/entry/documents.cpp
+++ b/src/entry/documents.cpp
@@ -138,7 +138,7 @@
     report.life = board.life;
     report.generation = board.registry.generation;
     report.applied = board.applied;
-    report.state = board.stopping ? member_state::leaving : member_state::live;
+    report.state = board.stop ? member_state::leaving : member_state::live;
     report.open_calls = static_cast<std::uint32_t>(board.calls.size());
     for (const auto& it : board.routes) {
         report.demand.push_back(it.demand);
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -66,10 +66,10 @@
 }
 
 void entry_process::state::check_stop() {
-    const auto waited = boot_clock::now() - board.stop_began;
+    const auto now = boot_clock::now();
     const bool idle = board.calls.empty() && board.callers->open_exchanges() == 0;
-    if ((idle && waited >= address_drain_time(board.conf.address_keep)) ||
-        waited >= board.conf.graceful_stop_limit) {
+    if ((idle && now >= board.stop->started + address_drain_time(board.conf.address_keep)) ||
+        now >= board.stop->started + board.conf.graceful_stop_limit) {
         LOG(INFO) << "[entry] stopped with " << board.calls.size() << " calls in progress";
         stop_check->stop();
         ev_break(board.loop, EVBREAK_ALL);
@@ -108,11 +108,11 @@
 
 void entry_process::stop() {
     auto& board = m_state->board;
-    if (board.stopping) {
+    if (board.stop) {
         return;
     }
-    board.stopping = true;
-    board.stop_began = boot_clock::now();
+    board.stop = plan_stop(boot_clock::now(), address_drain_time(board.conf.address_keep),
+                           board.conf.graceful_stop_limit);
     board.callers->stop_accepting();
     m_state->feed->report();
     m_state->stop_check->start(stop_check_interval, stop_check_interval);
--- a/src/entry/intake.cpp
+++ b/src/entry/intake.cpp
@@ -71,6 +71,15 @@
     return true;
 }
 
+/// @return false if the call was refused
+bool check_stop(entry_board& board, call& it) {
+    if (!board.stop || accepts_request(*board.stop, it.arrived, it.deadline)) {
+        return true;
+    }
+    end_refused(board, it, {.status = 503, .id = 19, .text = "this entry is stopping"});
+    return false;
+}
+
 /// @return false if the call was refused
 bool check_preset(entry_board& board, call& it) {
     if (it.forwarded || may_serve(board, it.arrived)) {
@@ -97,7 +106,7 @@
         return;
     }
     auto& it = open_call(board, exchange, *route);
-    if (check_request(board, it)) {
+    if (check_request(board, it) && check_stop(board, it)) {
         check_preset(board, it);
     }
 }
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -22,8 +22,6 @@
 constexpr duration stop_check_interval = 100ms;
 // Some callers cache an address response for three times its lifetime.
 constexpr int address_ttl_factor = 3;
-// The process exits this long before the platform would kill it.
-constexpr duration stop_margin = 1s;
 constexpr std::uint32_t max_auxiliary_connections = 256;
 
 http_server::options caller_options(const gateway_settings& conf) {
@@ -124,16 +122,21 @@
 }
 
 void gateway_process::state::check_stop() {
-    const auto spent = boot_clock::now() - board.stop_started_at;
-    const bool addresses_expired = spent >= address_ttl_factor * board.conf.address_keep + 200ms;
-    const bool limit_reached = spent >= board.conf.graceful_stop_limit - stop_margin;
-    if (addresses_expired) {
-        board.caller_server->stop_accepting();
+    const auto& stop = *board.stop;
+    const auto now = boot_clock::now();
+    if (now < stop.drained_at) {
+        return;
+    }
+    board.caller_server->drain();
+    if (now >= stop.answers_due_at) {
+        end_open_requests(board);
     }
-    if ((addresses_expired && board.caller_server->open_exchanges() == 0) || limit_reached) {
+    if (board.caller_server->open_connections() == 0 || now >= stop.exit_at) {
         write_event(board.log, "stopped",
                     {{"open_requests", static_cast<std::int64_t>(board.requests.size())},
-                     {"after_ms", to_milliseconds(spent)}});
+                     {"open_connections", static_cast<std::int64_t>(board.caller_server->open_connections())},
+                     {"after_ms", to_milliseconds(now - stop.started)}});
+        stop_timer->stop();
         ev_break(board.loop, EVBREAK_ALL);
     }
 }
@@ -178,11 +181,11 @@
 
 void gateway_process::stop() {
     auto& board = m_state->board;
-    if (board.stopping) {
+    if (board.stop) {
         return;
     }
-    board.stopping = true;
-    board.stop_started_at = boot_clock::now();
+    board.stop = plan_stop(boot_clock::now(), address_ttl_factor * board.conf.address_keep,
+                           board.conf.graceful_stop_limit);
     write_event(board.log, "stopping", {{"open_requests", static_cast<std::int64_t>(board.requests.size())}});
     board.caller_server->announce_close();
     send_status(board, true);
--- a/src/gateway/maintenance.cpp
+++ b/src/gateway/maintenance.cpp
@@ -6,6 +6,7 @@
 namespace endivelever {
 namespace {
 
+constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_gateway_timeout = 504;
 constexpr double median = 0.5;
 // The median changes slowly, and computing it takes a pass over the histogram.
@@ -55,6 +56,19 @@
 
 } // namespace
 
+void end_open_requests(gateway_board& board) {
+    std::vector<request_number> open;
+    for (const auto& it : board.requests) {
+        open.push_back(it.first);
+    }
+    for (const auto number : open) {
+        const auto found = board.requests.find(number);
+        if (found != board.requests.end()) {
+            respond_with_error(board, *found->second, {status_unavailable, "this VM is stopping", {}});
+        }
+    }
+}
+
 void run_maintenance(gateway_board& board) {
     const auto now = boot_clock::now();
     time_out_requests(board, now);
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -76,7 +76,7 @@
     status.vm = board.conf.vm;
     status.life = board.own_incarnation;
     status.sequence = ++board.status_sequence;
-    status.state = board.stopping ? member_state::leaving : member_state::live;
+    status.state = board.stop ? member_state::leaving : member_state::live;
     status.failure_domain = board.conf.failure_domain;
     status.caller_address = board.conf.caller_address.text;
     status.peer_address = board.conf.peer_address.text;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -24,6 +24,7 @@
 constexpr duration fresh_report_age = 10ms;
 constexpr duration min_retry_after = 100ms;
 constexpr duration max_retry_after = 10s;
+constexpr const char* stopping_reason = "this VM is stopping";
 
 duration expected_response_time(const gateway_service& service) {
     if (service.median_response_time > duration::zero()) {
@@ -223,12 +224,13 @@
     }
 }
 
-/// Refuses requests that no server can answer before their final response is due.
-void refuse_unservable(gateway_board& board, gateway_service& service, time_point now) {
-    const auto expected = expected_response_time(service);
+/// Refuses the waiting requests for which `is_unservable` is true.
+template <typename Condition>
+void refuse_if(gateway_board& board, gateway_service& service, const Condition& is_unservable,
+               const char* reason, duration retry_after) {
     wait_queue unservable;
     std::erase_if(service.waiting, [&](const waiting_request& it) {
-        const bool drop = cannot_meet_deadline(it, expected, now);
+        const bool drop = is_unservable(it);
         if (drop) {
             unservable.push_back(it);
         }
@@ -237,11 +239,23 @@
     for (const auto& it : unservable) {
         const auto found = board.requests.find(it.request);
         if (found != board.requests.end()) {
-            fail_unassigned(board, *found->second, it.purpose, "no server has room in time", expected);
+            fail_unassigned(board, *found->second, it.purpose, reason, retry_after);
         }
     }
 }
 
+/// Refuses requests that no server can answer before their final response is due, and during a planned stop
+/// those that could outlast this process.
+void refuse_unservable(gateway_board& board, gateway_service& service, time_point now) {
+    const auto expected = expected_response_time(service);
+    refuse_if(
+        board, service, [&](const waiting_request& it) { return cannot_meet_deadline(it, expected, now); },
+        "no server has room in time", expected);
+    refuse_if(board, service,
+              [&](const waiting_request& it) { return !accepts_request(board, now, it.deadline); },
+              stopping_reason, {});
+}
+
 /// Offers the servers whose load report is at most `age` old, in order of predicted response time.
 void offer_recently_reported(gateway_board& board, gateway_service& service, duration age, time_point now) {
     std::vector<std::pair<duration, server_view*>> recent;
@@ -294,6 +308,10 @@
         return;
     }
     const auto now = boot_clock::now();
+    if (!accepts_request(board, now, it.deadline)) {
+        fail_unassigned(board, it, purpose, stopping_reason, {});
+        return;
+    }
     const auto first_at = first_request_at(service.pool, {}, now);
     if (first_at > now && (first_at == time_point::max() || first_at > it.deadline)) {
         fail_unassigned(board, it, purpose, "servers want no request in time",
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -219,8 +219,10 @@
 
     [[nodiscard]] std::uint16_t port() const override { return m_state->port; }
     [[nodiscard]] std::size_t open_exchanges() const override { return m_state->open; }
+    [[nodiscard]] std::size_t open_connections() const override { return m_state->core.connections.size(); }
     void announce_close() override { m_state->core.stopping = true; }
     void stop_accepting() override;
+    void drain() override { stop_accepting(); }
 
   private:
     std::unique_ptr<microhttpd_state> m_state;
--- a/src/net/pipelined_connection.cpp
+++ b/src/net/pipelined_connection.cpp
@@ -65,6 +65,13 @@
 }
 
 void pipelined_connection::read_available() {
+    if (m_closed_idle) {
+        // Either the caller closed as well, or a request crossed the close. It stays unread, so that close()
+        // resets the connection and the caller knows that the request was not handled.
+        m_ended = true;
+        schedule_processing();
+        return;
+    }
     auto& buf = m_core.read_buffer;
     const auto n = recv(m_fd, buf.data(), buf.size(), 0);
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
@@ -190,7 +197,7 @@
 }
 
 int pipelined_connection::on_message_complete() {
-    m_close_after_last = m_close_after_last || http_should_keep_alive(&m_parser) == 0;
+    m_close_after_last = m_close_after_last || m_core.draining || http_should_keep_alive(&m_parser) == 0;
     m_reads_requests = !m_close_after_last;
     if (auto* it = std::exchange(m_receiving, nullptr)) {
         it->receive_body_end();
@@ -313,6 +320,22 @@
     }
 }
 
+void pipelined_connection::begin_drain() {
+    if (m_ended || m_lingering) {
+        return;
+    }
+    if (m_reads_requests && m_receiving == nullptr && !m_in_head) {
+        read_available(); // a request that has already arrived
+    }
+    if (m_receiving == nullptr && !m_in_head) {
+        m_closed_idle = m_exchanges.empty() && !m_close_after_last;
+        m_close_after_last = true;
+        m_reads_requests = false;
+        m_unparsed_input.clear();
+    }
+    schedule_processing();
+}
+
 bool pipelined_connection::process() {
     // A completed response may allow further requests to be parsed.
     while (!m_ended) {
--- a/src/net/pipelined_connection.hpp
+++ b/src/net/pipelined_connection.hpp
@@ -22,6 +22,7 @@
     http_server::handlers callbacks;
     http_server::options opts;
     bool stopping = false; ///< each connection closes after the response to its last open request
+    bool draining = false; ///< no request is read after those that have begun
     std::size_t open_exchanges = 0;
     std::vector<char> read_buffer = std::vector<char>(read_buffer_size); ///< shared receive buffer
     std::function<void(pipelined_connection&)>
@@ -44,6 +45,8 @@
     /// Sends pending responses and parses buffered input.
     /// @return false if the connection has ended and must be destroyed
     [[nodiscard]] bool process();
+    /// Closes the connection after the requests that have begun; at once if there is none.
+    void begin_drain();
     /// Ends a connection that waits for the caller longer than the idle timeout, or after the last response
     /// longer than the linger limit.
     void check_timeout(time_point now);
@@ -83,7 +86,7 @@
     http_parser m_parser{};
     request_head m_head; ///< of the request being parsed
     std::size_t m_head_size = 0;
-    bool m_in_head = false;
+    bool m_in_head = false;       ///< a request head is being parsed
     bool m_has_value = false;     ///< a value was parsed for the last header
     unsigned m_error_status = 0;  ///< error status for a rejected request; 0 if there is none
     std::string m_unparsed_input; ///< received but not yet parsed
@@ -93,7 +96,8 @@
     bool m_write_blocked = false;              ///< the send buffer of the socket is full
     bool m_reads_requests = true;              ///< false after the last request
     bool m_close_after_last = false;
-    bool m_lingering = false; ///< lingering close: all is sent; waits for the caller to close
+    bool m_lingering = false;   ///< lingering close: all is sent; waits for the caller to close
+    bool m_closed_idle = false; ///< closed without a response that the caller still has to read
     bool m_ended = false;
 };
 
--- a/src/net/pipelined_server.cpp
+++ b/src/net/pipelined_server.cpp
@@ -19,7 +19,7 @@
 
 constexpr duration timeout_check_interval = 1s;
 // Connections accepted per loop iteration, so that a burst does not delay other events.
-constexpr int max_accepts_per_event = 64;
+constexpr std::size_t max_accepts_per_event = 64;
 
 class pipelined_server final : public http_server {
   public:
@@ -32,11 +32,13 @@
 
     [[nodiscard]] std::uint16_t port() const override { return m_port; }
     [[nodiscard]] std::size_t open_exchanges() const override { return m_core.open_exchanges; }
+    [[nodiscard]] std::size_t open_connections() const override { return m_connections.size(); }
     void announce_close() override { m_core.stopping = true; }
     void stop_accepting() override;
+    void drain() override;
 
   private:
-    void accept_pending();
+    void accept_pending(std::size_t limit);
     void process_scheduled();
     void check_timeouts();
 
@@ -67,7 +69,9 @@
     };
     ev_io_init(
         &m_acceptable,
-        [](struct ev_loop*, ev_io* it, int) { static_cast<pipelined_server*>(it->data)->accept_pending(); },
+        [](struct ev_loop*, ev_io* it, int) {
+            static_cast<pipelined_server*>(it->data)->accept_pending(max_accepts_per_event);
+        },
         listen_fd, EV_READ);
     m_acceptable.data = this;
     ev_io_start(loop, &m_acceptable);
@@ -87,8 +91,21 @@
     }
 }
 
-void pipelined_server::accept_pending() {
-    for (int i = 0; i < max_accepts_per_event; ++i) {
+void pipelined_server::drain() {
+    if (std::exchange(m_core.draining, true)) {
+        return;
+    }
+    if (m_listen_fd >= 0) {
+        accept_pending(m_core.opts.max_connections);
+    }
+    stop_accepting();
+    for (const auto& it : m_connections) {
+        it.second->begin_drain();
+    }
+}
+
+void pipelined_server::accept_pending(std::size_t limit) {
+    for (std::size_t i = 0; i < limit; ++i) {
         if (m_connections.size() >= m_core.opts.max_connections) {
             ev_io_stop(m_core.loop, &m_acceptable);
             return;
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -432,6 +432,76 @@
               caller.received.find("Connection: close"));
 }
 
+// Guards against a planned stop that keeps idle connections open, on which callers send further requests.
+TEST_F(pipelining_test, drain_closes_an_idle_connection) {
+    loop.run_for(5ms);
+    echo.server->drain();
+    ASSERT_TRUE(wait_for_end());
+    EXPECT_EQ("", caller.received);
+    EXPECT_TRUE(loop.run_until([&] {
+        caller.close();
+        return echo.server->open_connections() == 0;
+    }));
+}
+
+// Guards against a caller that cannot tell whether the request that crossed the close was handled.
+TEST_F(pipelining_test, drain_resets_a_connection_on_which_a_request_crosses_the_close) {
+    loop.run_for(5ms);
+    echo.server->drain();
+    ASSERT_TRUE(wait_for_end());
+    send_requests(1);
+    EXPECT_TRUE(loop.run_until([&] { return echo.server->open_connections() == 0; }));
+    EXPECT_TRUE(loop.run_until([&] { return caller.send_some("x") == 0; }));
+    EXPECT_EQ(0U, echo.requests);
+}
+
+// Guards against a caller that sends its next request before each response, so that the connection never
+// closes.
+TEST_F(pipelining_test, drain_ends_a_connection_that_always_has_an_open_request) {
+    send_requests(3);
+    ASSERT_TRUE(wait_for_requests(3));
+    echo.server->drain();
+    send_requests(1);
+    loop.run_for(20ms);
+    ASSERT_EQ(3U, open.size());
+    for (auto* it : open) {
+        it->respond(200, {}, "done");
+    }
+    ASSERT_TRUE(wait_for_end());
+    EXPECT_EQ(3U, count_of(caller.received, "done"));
+    EXPECT_EQ(1U, count_of(caller.received, "Connection: close"));
+}
+
+// Guards against a request that is dropped because its last byte arrives after the drain began.
+TEST_F(pipelining_test, drain_reads_a_request_that_has_begun) {
+    caller.send_some("POST /1 HTTP/1.1\r\nHost: a\r\nContent-");
+    loop.run_for(20ms);
+    echo.server->drain();
+    loop.run_for(20ms);
+    caller.send_some("Length: 4\r\n\r\nbo");
+    loop.run_for(20ms);
+    caller.send_some("dy");
+    ASSERT_TRUE(wait_for_requests(1));
+    open[0]->respond(200, {}, "done");
+    ASSERT_TRUE(wait_for_end());
+    EXPECT_EQ(1U, count_of(caller.received, "Connection: close"));
+}
+
+// Guards against the reset of connections that wait in the queue of the listening socket.
+TEST_F(pipelining_test, drain_accepts_waiting_connections) {
+    auto waiting = raw_socket::connect_to(echo.server->port());
+    waiting.send_some("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    echo.server->drain();
+    ASSERT_TRUE(wait_for_requests(1));
+    open[0]->respond(200, {}, "done");
+    ASSERT_TRUE(loop.run_until([&] {
+        waiting.read_available();
+        return waiting.closed();
+    }));
+    EXPECT_EQ(1U, count_of(waiting.received, "done"));
+    EXPECT_FALSE(waiting.reset);
+}
+
 // Guards against an aborted response that resets the connection before earlier responses are sent.
 TEST_F(pipelining_test, abort_takes_effect_after_the_earlier_responses) {
     send_requests(3);
--- a/tests/fakes/fake_target.cpp
+++ b/tests/fakes/fake_target.cpp
@@ -2,7 +2,7 @@
 
 namespace endivelever::http_test {
 
-fake_target::fake_target(struct ev_loop* loop, std::string id) : m_id(std::move(id)) {
+fake_target::fake_target(struct ev_loop* loop, std::string id) : m_loop(loop), m_id(std::move(id)) {
     http_server::handlers handlers;
     handlers.on_head = [](http_exchange& /*exchange*/) {};
     handlers.on_body = [this](http_exchange& exchange, std::string_view data) {
@@ -87,8 +87,23 @@
         exchange.finish();
         return;
     default:
+        answer_later(exchange, std::move(headers));
+    }
+}
+
+void fake_target::answer_later(http_exchange& exchange, http_headers headers) {
+    if (work_time <= duration::zero()) {
         exchange.respond(200, headers, body);
+        return;
     }
+    const auto id = m_open.at(&exchange);
+    m_timers.push_back(std::make_unique<timer>(m_loop, [this, id, &exchange, headers = std::move(headers)] {
+        const auto found = m_open.find(&exchange);
+        if (found != m_open.end() && found->second == id) {
+            exchange.respond(200, headers, body);
+        }
+    }));
+    m_timers.back()->start(work_time);
 }
 
 } // namespace endivelever::http_test
--- a/tests/fakes/fake_target.hpp
+++ b/tests/fakes/fake_target.hpp
@@ -43,6 +43,7 @@
     manner behaviour = manner::serves;
     std::string load = "0,0,4,100";
     std::string body = "answer";
+    duration work_time{};                      ///< before a successful response
     http_headers directives;                   ///< added to each response
     bool directives_in_probes = true;          ///< also to responses to health checks
     std::vector<time_point> arrivals;          ///< of requests, also of those that it rejects
@@ -54,7 +55,11 @@
   private:
     void answer(http_exchange& exchange);
 
+    void answer_later(http_exchange& exchange, http_headers headers);
+
+    struct ev_loop* m_loop;
     std::string m_id;
+    std::vector<std::unique_ptr<timer>> m_timers; ///< of responses that wait for the work time
     std::map<http_exchange*, std::string> m_received;
     std::map<http_exchange*, std::string> m_open;
     std::unique_ptr<http_server> m_server;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,6 +4,7 @@
 #include "endivelever/base/random.hpp"
 #include "fakes/fake_object_store.hpp"
 #include "fakes/fake_target.hpp"
+#include "fakes/platform_settings.hpp"
 #include "testbed/forwarder.hpp"
 #include "testbed/process.hpp"
 
@@ -24,6 +25,7 @@
 constexpr duration shortest_fault = 100ms;
 constexpr std::uint32_t fault_spread_ms = 1400;
 constexpr int call_deadline_ms = 1000;
+constexpr int grace_period_s = 6;
 // Generous: a process that was killed last starts, reads the store and hears of the others.
 constexpr duration recovery_limit = 60s;
 constexpr const char* service = "desk";
@@ -148,22 +150,8 @@
     it.host = "127." + std::to_string(20 + pid % 200) + "." + std::to_string(pid / 200 % 250) + "." +
               std::to_string(100 + index);
     it.store_link = std::move(*testbed::forwarder::open(store.address()));
-    const json settings{{"node_name", it.vm},
-                        {"zone", "zone-a"},
-                        {"ip_address", it.host},
-                        {"listen_addrs",
-                         {{"frontend", it.host + ":7001"},
-                          {"ready", it.host + ":7002"},
-                          {"registry", it.host + ":7003"},
-                          {"control_plane", it.host + ":7004"}}},
-                        {"internal_port_range", {7005, 7010}},
-                        {"bounds",
-                         {{"ttl_max_s", 5},
-                          {"grace_period_s", 6},
-                          {"retry_budget_ratio", 0.2},
-                          {"retry_allowance", 60},
-                          {"probes_per_s", 60}}},
-                        {"platform", {{"address", it.store_link->address().text}}}};
+    const auto settings =
+        http_test::platform_settings(it.vm, it.host, it.store_link->address(), grace_period_s);
     it.settings_file = folder.write(it.vm + ".json", settings.dump());
     it.log_file = folder.path(it.vm + ".log");
     start(it);
