Take over the store's watch in the order of the VMs that serve

Cause: a VM's turn to read the store was its position among all VMs that were ever heard or registered, the heads that had lost the store included. Besides, a VM that already read the store stopped when it learned that the heads had lost it, and a removed VM of a high rank was taken for a head one second in four.

Change: the turn is the position among the VMs that serve callers, as the heads report them, heads first. A reader goes on until one of higher rank reads. A silent head is expected again after 3, 6, 12 ... 60 s.

Tests: takeover_during_store_outage_follows_rank now states the addresses that heads report, with the same bounds; vms_that_timed_out_are_not_returned takes its own address from the table.

--- a/include/endivelever/decide/peer_table.hpp
+++ b/include/endivelever/decide/peer_table.hpp
@@ -26,6 +26,7 @@
     time_point last_heard{};          ///< receipt of the last status; default if none was received
     time_point head_expected_since{}; ///< start of the wait for its status as a head; default if not waiting
     time_point head_excluded_until{}; ///< not considered as a head until then, since it sent no status as one
+    duration head_exclusion{};        ///< length of the last exclusion; 0 after a status
     time_point last_sent{};
 };
 
@@ -36,6 +37,7 @@
 /// calls does not depend on the number of failure domains.
 struct peer_table {
     registered_vm own;
+    std::string own_caller_address;
     std::map<vm_id, peer> peers;
     bool is_head = false;       ///< this VM is a head of its failure domain
     bool loaded = false;        ///< the list of VMs has been read from the store at least once
@@ -134,8 +136,8 @@
 
 /// Determines the tasks of this VM. The store is watched by the watchers of the fleet. Another VM watches it
 /// as well if its state is not confirmed by its peers, or if no head had access to the store for some time.
-/// That time grows with the VM's position in the order of ranks, so that heads take over first and an outage
-/// of the store does not make all VMs call it at once.
+/// That time grows with the VM's position among the VMs that serve callers, so that heads take over first and
+/// an outage of the store does not make all VMs call it at once.
 /// @param watches                  true if this VM watches the store now; it then goes on until a VM of
 /// higher
 ///                                 rank reads the store, so that several do not leave it to each other
@@ -149,8 +151,7 @@
 
 /// Caller addresses of the serving VMs of the own domain whose status this VM received itself.
 /// @param is_serving_itself  true if this VM's own address is to be included
-std::vector<std::string> heard_addresses(const peer_table& table, const std::string& own_caller_address,
-                                         bool is_serving_itself, time_point now);
+std::vector<std::string> heard_addresses(const peer_table& table, bool is_serving_itself, time_point now);
 
 /// Applies the serving addresses and the fleet size that a head of the own domain reports.
 void apply_head_status(peer_table& table, const gateway_status_message& status, time_point now);
--- a/src/decide/peer_table.cpp
+++ b/src/decide/peer_table.cpp
@@ -14,13 +14,19 @@
 // Low bits of a rank that hold the hash; the capacity occupies the bits above.
 constexpr unsigned hash_bits = 48;
 constexpr std::uint32_t max_capacity = 0xffff;
-// A head that timed out is considered again after this time, which is about the duration of a restart.
-constexpr duration head_exclusion_time = 3s;
+// A head that timed out is considered again after this time, which is about the duration of a restart, and
+// after twice as long each further time that it sends nothing.
+constexpr duration min_head_exclusion = 3s;
+constexpr duration max_head_exclusion = 60s;
 // Validity of a head's report that the store answers; one datagram from another domain may be lost.
 constexpr duration store_report_timeout = 2 * cross_domain_status_interval + 250ms;
 // While no head has access to the store, one more VM of a failure domain calls it after each such interval.
 constexpr duration takeover_interval = 400ms;
 
+std::uint64_t text_hash(std::string_view text) {
+    return XXH3_64bits(text.data(), text.size());
+}
+
 bool is_recently_heard(const peer& it, time_point now) {
     return it.last_heard != time_point{} && now - it.last_heard <= peer_timeout;
 }
@@ -34,6 +40,7 @@
 bool is_usable_head(peer& it, time_point now) {
     if (is_recently_heard(it, now) && it.status.state == member_state::live) {
         it.head_expected_since = {};
+        it.head_exclusion = {};
         return true;
     }
     if (now < it.head_excluded_until) {
@@ -46,7 +53,8 @@
         return true;
     }
     it.head_expected_since = {};
-    it.head_excluded_until = now + head_exclusion_time;
+    it.head_exclusion = std::clamp(2 * it.head_exclusion, min_head_exclusion, max_head_exclusion);
+    it.head_excluded_until = now + it.head_exclusion;
     return false;
 }
 
@@ -86,10 +94,30 @@
     return found;
 }
 
+/// Number of VMs of the own failure domain that take over the watch of the store before this one: the heads,
+/// and then the other VMs that serve callers. VMs that were removed or have failed serve nobody and delay
+/// nobody.
+/// @param heads  of the own failure domain
+std::ptrdiff_t takeover_position(const peer_table& table, const std::vector<vm_id>& heads) {
+    const auto own_head = std::find(heads.begin(), heads.end(), table.own.vm);
+    if (own_head != heads.end()) {
+        return own_head - heads.begin();
+    }
+    std::set<std::string_view> head_addresses;
+    for (const auto& it : heads) {
+        head_addresses.insert(table.peers.at(it).status.caller_address);
+    }
+    const auto own_hash = text_hash(table.own_caller_address);
+    const auto earlier = std::count_if(
+        table.domain_addresses.begin(), table.domain_addresses.end(),
+        [&](const std::string& it) { return !head_addresses.contains(it) && text_hash(it) < own_hash; });
+    return 1 + earlier;
+}
+
 } // namespace
 
 std::uint64_t hash_of(const vm_id& vm) {
-    return XXH3_64bits(vm.text.data(), vm.text.size());
+    return text_hash(vm.text);
 }
 
 std::uint64_t rank_of(const vm_id& vm, std::uint32_t capacity) {
@@ -225,14 +253,9 @@
     const auto confirmed =
         std::max(table.started, watches ? table.confirmed_by_reader_at : table.confirmed_at);
     const bool is_unconfirmed = now - confirmed > (is_head ? head_confirmation_limit : confirmation_limit);
-    bool takes_over = false;
-    if (store_unreachable_since != time_point{}) {
-        const auto order = vms_by_rank(table, table.own.failure_domain);
-        const auto position =
-            std::find_if(order.begin(), order.end(), [&](const ranked_vm& it) { return is_own(it.vm); }) -
-            order.begin();
-        takes_over = now - store_unreachable_since >= position * takeover_interval;
-    }
+    const bool takes_over =
+        store_unreachable_since != time_point{} &&
+        (watches || now - store_unreachable_since >= takeover_position(table, heads) * takeover_interval);
     auto reason = watch_reason::none;
     if (is_head) {
         const auto watchers = find_watchers(table, now);
@@ -257,11 +280,10 @@
            it.status.routing_version != 0;
 }
 
-std::vector<std::string> heard_addresses(const peer_table& table, const std::string& own_caller_address,
-                                         bool is_serving_itself, time_point now) {
+std::vector<std::string> heard_addresses(const peer_table& table, bool is_serving_itself, time_point now) {
     std::vector<std::string> addresses;
     if (is_serving_itself) {
-        addresses.push_back(own_caller_address);
+        addresses.push_back(table.own_caller_address);
     }
     for (const auto& it : table.peers) {
         if (it.second.record.failure_domain == table.own.failure_domain && is_serving(it.second, now)) {
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -166,6 +166,7 @@
     board.store_access.protocol = board.dialect.store;
     board.peers.own = {board.conf.vm, board.conf.failure_domain, board.conf.peer_address.text,
                        board.conf.capacity};
+    board.peers.own_caller_address = board.conf.caller_address.text;
     board.peers.started =
         boot_clock::now() + (board.conf.first_start ? first_start_list_delay : duration::zero());
     if (board.conf.first_start) {
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -48,7 +48,7 @@
 /// Updates the addresses and the fleet size that this VM reports as a head.
 void update_fleet_view(gateway_board& board, time_point now) {
     auto& table = board.peers;
-    table.domain_addresses = heard_addresses(table, board.conf.caller_address.text, is_ready(board), now);
+    table.domain_addresses = heard_addresses(table, is_ready(board), now);
     table.other_addresses.clear();
     table.fleet_size = static_cast<std::uint32_t>(table.domain_addresses.size());
     for (const auto* it : latest_domain_statuses(board, now)) {
--- a/tests/contract/gateway_freshness_test.cpp
+++ b/tests/contract/gateway_freshness_test.cpp
@@ -1,6 +1,8 @@
 #include "contract/gateway_fixture.hpp"
 #include "testbed/forwarder.hpp"
 
+#include <numeric>
+
 namespace endivelever::http_test {
 namespace {
 
@@ -32,15 +34,15 @@
     }
 
     /// Starts all VMs and lets each of them pull configuration and servers at least once.
-    void start_fleet() {
+    void start_fleet(std::size_t vms = vm_count) {
         put_config("00000001");
         add_target("i-0");
-        for (std::size_t i = 0; i < vm_count; ++i) {
+        for (std::size_t i = 0; i < vms; ++i) {
             add_linked_gateway("vm-" + std::to_string(i));
         }
         ASSERT_TRUE(loop.run_until([&] {
-            return std::all_of(gateways.begin(), gateways.end(), [](const auto& it) {
-                return is_ready(it->board()) && it->board().peers.fleet_size == vm_count;
+            return std::all_of(gateways.begin(), gateways.end(), [vms](const auto& it) {
+                return is_ready(it->board()) && it->board().peers.fleet_size == vms;
             });
         }));
         put_config("00000002");
@@ -55,6 +57,29 @@
         }
     }
 
+    /// Removes the VMs that rank between the heads and the last VMs, so that vm_count are left, and waits
+    /// until the others have noticed.
+    void remove_middle_vms() {
+        std::vector<std::size_t> order(gateways.size());
+        std::iota(order.begin(), order.end(), 0);
+        std::sort(order.begin(), order.end(), [this](std::size_t left, std::size_t right) {
+            return hash_of(gateways[left]->board().conf.vm) > hash_of(gateways[right]->board().conf.vm);
+        });
+        const auto last = order.end() - static_cast<std::ptrdiff_t>(vm_count - heads_per_domain);
+        std::vector<std::size_t> removed(order.begin() + heads_per_domain, last);
+        std::sort(removed.rbegin(), removed.rend());
+        for (const auto i : removed) {
+            const auto at = static_cast<std::ptrdiff_t>(i);
+            gateways.erase(gateways.begin() + at);
+            store_links.erase(store_links.begin() + at);
+            relay_links.erase(relay_links.begin() + at);
+        }
+        ASSERT_TRUE(loop.run_until([&] {
+            return std::all_of(gateways.begin(), gateways.end(),
+                               [](const auto& it) { return it->board().peers.fleet_size == vm_count; });
+        }));
+    }
+
     /// Bytes of connections that are open now are never delivered; new connections work.
     void silence_relays() {
         for (auto& link : relay_links) {
@@ -129,13 +154,15 @@
 struct cut_case {
     const char* name;
     duration before_removal; ///< from the cut to the removal of the server's entry
+    std::size_t removed_vms; ///< VMs of a rank below the heads that were removed for good before
 };
 
 struct gateway_store_cut : freshness_fixture, testing::WithParamInterface<cut_case> {};
 
 // Guards against a server that left and stays in use, because VMs cut from the store count as its outage.
 TEST_P(gateway_store_cut, removal_is_applied_by_vms_that_are_in_touch) {
-    start_fleet();
+    start_fleet(vm_count + GetParam().removed_vms);
+    remove_middle_vms();
     std::vector<gateway_process*> in_touch;
     for (std::size_t i = 0; i < gateways.size(); ++i) {
         if (gateways[i]->board().duties.watches) {
@@ -157,8 +184,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(moments, gateway_store_cut,
-                         testing::Values(cut_case{"at_once", 0ms}, cut_case{"while_others_take_over", 1200ms},
-                                         cut_case{"after_others_took_over", 3000ms}),
+                         testing::Values(cut_case{"at_once", 0ms, 0},
+                                         cut_case{"while_others_take_over", 1200ms, 0},
+                                         cut_case{"after_others_took_over", 3000ms, 0},
+                                         cut_case{"after_vms_were_removed", 0ms, 5}),
                          [](const auto& it) { return it.param.name; });
 
 } // namespace
--- a/tests/unit/peer_table_test.cpp
+++ b/tests/unit/peer_table_test.cpp
@@ -27,6 +27,7 @@
 peer_table make_table(const std::string& own, const std::vector<registered_vm>& listed) {
     peer_table table;
     table.own = vm(own);
+    table.own_caller_address = "caller-" + own;
     table.started = start;
     apply_registered(table, listed);
     return table;
@@ -207,6 +208,7 @@
                 merge_status(table, status(it.first, 1), now);
             }
             table.head_heard_at = now;
+            table.domain_addresses = heard_addresses(table, true, now);
             n += find_duties(table, false, start, now).watches ? 1 : 0;
         }
         watching.push_back(n);
@@ -216,6 +218,93 @@
     EXPECT_EQ(30U, watching[2]);
 }
 
+struct takeover_case {
+    const char* name;
+    std::size_t removed;       ///< VMs that are still registered
+    std::size_t removed_heard; ///< of these, VMs that were heard before they were removed
+    std::size_t left;          ///< VMs that serve callers, two of them heads
+};
+
+struct takeover : testing::TestWithParam<takeover_case> {};
+
+// Guards against VMs that were removed for good and keep their turn in the order of takeover.
+TEST_P(takeover, is_not_delayed_by_removed_vms) {
+    const auto& param = GetParam();
+    const auto listed = vms(param.removed + param.left);
+    const auto now = start + 60s;
+    std::vector<vm_id> ranked;
+    for (const auto& it : listed) {
+        ranked.push_back(it.vm);
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const vm_id& a, const vm_id& b) { return rank_of(a, 0) > rank_of(b, 0); });
+    const std::vector<vm_id> heads(ranked.begin(), ranked.begin() + heads_per_domain);
+    const std::vector<vm_id> members(
+        ranked.begin() + static_cast<std::ptrdiff_t>(heads_per_domain + param.removed), ranked.end());
+    std::size_t watching = 0;
+    for (const auto& own : members) {
+        auto table = make_table(own.text, listed);
+        for (std::size_t i = 0; i < param.removed_heard; ++i) {
+            merge_status(table, status(ranked[heads_per_domain + i], 1, false), start);
+        }
+        for (const auto& it : heads) {
+            auto lost = status(it, 1);
+            lost.store_answers = false;
+            merge_status(table, lost, now);
+            table.domain_addresses.push_back(lost.caller_address);
+        }
+        for (const auto& it : members) {
+            table.domain_addresses.push_back("caller-" + it.text);
+        }
+        const auto limit = 500ms;
+        watching += find_duties(table, false, now - limit, now).watches ? 1 : 0;
+    }
+    EXPECT_EQ(1U, watching);
+}
+
+INSTANTIATE_TEST_SUITE_P(fleets, takeover,
+                         testing::Values(takeover_case{"none_removed", 0, 0, 5},
+                                         takeover_case{"half_removed", 5, 5, 5},
+                                         takeover_case{"removed_before_the_start", 5, 0, 5},
+                                         takeover_case{"most_removed", 40, 20, 5},
+                                         takeover_case{"two_left", 8, 8, 4}),
+                         [](const auto& it) { return it.param.name; });
+
+// Guards against a VM that stops reading the store at the moment when it learns that the heads cannot reach
+// it.
+TEST(peer_table, reader_goes_on_when_the_heads_lose_the_store) {
+    const auto listed = vms(5);
+    const auto now = start + 60s;
+    for (const auto& own : listed) {
+        auto table = make_table(own.vm.text, listed);
+        EXPECT_TRUE(find_duties(table, true, now, now).watches) << own.vm.text;
+    }
+}
+
+// Guards against a removed VM that is taken for a head again and again.
+TEST(peer_table, removed_head_is_expected_ever_less_often) {
+    auto table = make_table("vm-0", vms(3));
+    const auto removed = find_heads(table, domain_a, start).front() == vm_id("vm-0")
+                             ? find_heads(table, domain_a, start).back()
+                             : find_heads(table, domain_a, start).front();
+    std::size_t expected = 0;
+    constexpr duration step = 250ms;
+    constexpr duration played = 120s;
+    for (auto now = start; now < start + played; now += step) {
+        for (const auto& it : table.peers) {
+            if (it.first != removed) {
+                merge_status(table, status(it.first, static_cast<std::uint64_t>((now - start) / step)), now);
+            }
+        }
+        const auto heads = find_heads(table, domain_a, now);
+        expected += std::find(heads.begin(), heads.end(), removed) != heads.end() ? 1 : 0;
+    }
+    EXPECT_LE(expected * step, 6 * (peer_timeout + step));
+    merge_status(table, status(removed, 1), start + played);
+    const auto heads = find_heads(table, domain_a, start + played);
+    EXPECT_NE(heads.end(), std::find(heads.begin(), heads.end(), removed));
+}
+
 // Guards against a reordered datagram that marks a leaving VM as serving again.
 TEST(peer_table, older_status_is_ignored) {
     auto table = make_table("vm-0", vms(3));
@@ -233,10 +322,11 @@
 // Guards against directing callers to a VM that failed.
 TEST(peer_table, vms_that_timed_out_are_not_returned) {
     auto table = make_table("vm-0", vms(3));
+    table.own_caller_address = "own";
     merge_status(table, status(vm_id("vm-1"), 1), start);
     merge_status(table, status(vm_id("vm-2"), 1), start + 1s);
     const std::vector<std::string> expected{"own", "caller-vm-2"};
-    EXPECT_EQ(expected, heard_addresses(table, "own", true, start + peer_timeout + 10ms));
+    EXPECT_EQ(expected, heard_addresses(table, true, start + peer_timeout + 10ms));
 }
 
 // Guards against answers with a single address, which leave a caller without an alternative if that VM fails.
