--- a/tests/failure/gateway_stop_test.cpp
+++ b/tests/failure/gateway_stop_test.cpp
@@ -1,5 +1,8 @@
 #include "failure/gateway_fleet.hpp"
 
+#include <fstream>
+#include <sys/stat.h>
+
 namespace endivelever::http_test {
 namespace {
 
@@ -59,6 +62,29 @@
                                                    "/once/x"}),
                          [](const auto& it) { return it.param.name; });
 
+// Guards against a process that hangs when a reload fails and nobody reads its log.
+TEST(gateway_reload, failing_reloads_do_not_block_without_a_log_reader) {
+    gateway_fleet fleet(1);
+    fleet.put_config();
+    fleet.add_target(1ms, "0,0,4,100");
+    const auto log = fleet.folder.path("vm-1.log");
+    ASSERT_EQ(0, mkfifo(log.c_str(), 0600));
+    const int unread = open(log.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+    fleet.add_gateway();
+    ASSERT_TRUE(fleet.wait_until_ready());
+    std::ofstream(fleet.gateways.front().settings_file, std::ios::trunc) << "{";
+    constexpr int reloads = 1500; // their messages exceed the buffers of the pipes
+    for (int i = 0; i < reloads; ++i) {
+        ::kill(fleet.gateways.front().process.pid(), SIGHUP);
+        fleet.loop.run_for(1ms);
+    }
+    fleet.shortest_pause = 1ms;
+    fleet.add_callers(1);
+    EXPECT_TRUE(fleet.loop.run_until([&] { return fleet.play_all(), fleet.responses.size() >= 5; }, 10s));
+    EXPECT_EQ(id_list{}, fleet.lost());
+    close(unread);
+}
+
 struct rolling_case {
     const char* name;
     std::uint64_t seed;
