--- a/tests/unit/peer_table_test.cpp
+++ b/tests/unit/peer_table_test.cpp
@@ -233,6 +233,7 @@
     const auto listed = vms(param.removed + param.left);
     const auto now = start + 60s;
     std::vector<vm_id> ranked;
+    ranked.reserve(listed.size());
     for (const auto& it : listed) {
         ranked.push_back(it.vm);
     }
