Shorten comments of the planned stop

Cause: comments beside the fields of graceful_stop were broken by the formatter, and begin_streaming() can end a request, which its declaration did not say. Change: comments only.

--- a/include/endivelever/decide/graceful_stop.hpp
+++ b/include/endivelever/decide/graceful_stop.hpp
@@ -7,11 +7,10 @@
 /// Times of a planned stop.
 struct graceful_stop {
     time_point started;
-    time_point
-        requests_limited_at;   ///< from then on only requests are accepted that end before answers_due_at
-    time_point drained_at;     ///< from then on no connection is kept or accepted
-    time_point answers_due_at; ///< every request that was accepted has its response by then
-    time_point exit_at;        ///< the process exits at the latest
+    time_point requests_limited_at; ///< requests that may last until after answers_due_at are refused
+    time_point drained_at;          ///< connections are neither accepted nor kept
+    time_point answers_due_at;      ///< every request has its response
+    time_point exit_at;             ///< the process exits at the latest
 };
 
 /// Plans a stop. Callers still connect while they cache this VM's address; after half of the grace period a
--- a/include/endivelever/decide/peer_table.hpp
+++ b/include/endivelever/decide/peer_table.hpp
@@ -138,9 +138,8 @@
 /// as well if its state is not confirmed by its peers, or if no head had access to the store for some time.
 /// That time grows with the VM's position among the VMs that serve callers, so that heads take over first and
 /// an outage of the store does not make all VMs call it at once.
-/// @param watches                  true if this VM watches the store now; it then goes on until a VM of
-/// higher
-///                                 rank reads the store, so that several do not leave it to each other
+/// @param watches                  true if this VM watches the store now; it goes on until one of higher rank
+///                                 reads the store, so that several do not leave it to each other
 /// @param store_unreachable_since  when the last head known to this VM lost access to the store; default if
 ///                                 at least one has access
 peer_duties find_duties(peer_table& table, bool watches, time_point store_unreachable_since, time_point now);
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -55,6 +55,7 @@
 void forward_response(gateway_board& board, gateway_request& it, request_attempt& attempt);
 
 /// Starts to stream the response of an attempt that is too large to buffer, and cancels the other attempts.
+/// Ends the request with an error response if the status may not be forwarded.
 void begin_streaming(gateway_board& board, gateway_request& it, request_attempt& attempt);
 
 /// Removes a request after its response or after the caller disconnected, and cancels its attempts.
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -179,7 +179,7 @@
     attempt.body.append(data);
     if (attempt.body.size() > max_buffered_response && it.streaming_attempt == nullptr &&
         it.exchange != nullptr) {
-        begin_streaming(board, it, attempt); // may end the request
+        begin_streaming(board, it, attempt);
     }
     return true;
 }
