Let the stand-in of a server reject a request without an id

Which process sent it is not shown; tests use free ports of one loopback address, so a process of another test may call a port that was given away since.

Change: the stand-in answers 400 and does not run the request, as servers of the platform do.

Measured: fake_target_rejects_requests_without_an_id ends the sanitized test process on the code before and passes in both builds now.

--- a/tests/contract/gateway_test.cpp
+++ b/tests/contract/gateway_test.cpp
@@ -24,6 +24,20 @@
     EXPECT_LE(std::stoi(*deadline), 600);
 }
 
+// Guards against a stand-in that ends the test process when a request without an id reaches it.
+TEST_F(gateway_fixture, fake_target_rejects_requests_without_an_id) {
+    fake_target target(loop.get(), "i-0");
+    const auto parts = split_address(target.address());
+    ASSERT_TRUE(parts);
+    auto caller = raw_socket::connect_to(parts->port, parts->host);
+    caller.send_some("GET /api/objects/config HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_TRUE(loop.run_until([&] {
+        caller.read_available();
+        return caller.received.starts_with("HTTP/1.1 400");
+    }));
+    EXPECT_TRUE(target.ran.empty());
+}
+
 // Guards against a 404 from a VM that has not loaded a configuration yet: callers do not retry after a 404.
 TEST_F(gateway_fixture, responds_unavailable_until_configuration_is_loaded) {
     auto& gateway = add_gateway("vm-1");
--- a/tests/fakes/fake_target.cpp
+++ b/tests/fakes/fake_target.cpp
@@ -42,8 +42,12 @@
         exchange.respond(200, headers, "");
         return;
     }
-    arrivals.push_back(boot_clock::now());
     const auto* id = find_header(exchange.headers(), "X-Request-Id");
+    if (id == nullptr) {
+        exchange.respond(400, {{"X-Not-Executed", "1"}}, "");
+        return;
+    }
+    arrivals.push_back(boot_clock::now());
     const auto* expected = find_header(exchange.headers(), "X-Expect-Instance");
     if (expected != nullptr && *expected != m_id) {
         headers.push_back({"X-Request-Id", *id});
