Notice callers that leave while their next requests are held

Change: up to 16 KB are read and kept while no request may be parsed. A connection of the sequential server leaves the epoll set when it closes: a child process that holds its descriptor kept the events coming, for freed memory (found by the sanitizer run of rolling_restart, where the test process starts gateways; no program of ours forks).

The test of the child process ends with heap-use-after-free on the code before.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -107,6 +107,9 @@
     auto& self = *static_cast<microhttpd_state*>(cls);
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
         const std::unique_ptr<connection_context> closed(static_cast<connection_context*>(*context));
+        // A child process may hold a copy of the descriptor, and the close alone does not end its events
+        // then.
+        epoll_ctl(self.hangup_fd, EPOLL_CTL_DEL, closed->fd, nullptr);
         self.core.connections.erase(closed.get());
         *context = nullptr;
         return;
--- a/src/net/pipelined_connection.cpp
+++ b/src/net/pipelined_connection.cpp
@@ -17,6 +17,8 @@
 // Time for the caller to read the last response and close the connection, which takes one round trip.
 // Closing earlier could reset the connection before the caller has read the response.
 constexpr duration linger_limit = 2s;
+// Input that is read while no request may be parsed; further input stays in the socket.
+constexpr std::size_t max_unparsed_input = 16UL * 1024UL;
 constexpr int keep_parsing = 0;
 constexpr int stop_parsing = -1;
 
@@ -363,9 +365,10 @@
 }
 
 void pipelined_connection::update_watchers() {
-    // Reading continues after the last request, so that the close by the caller is detected; that input is
-    // discarded.
-    if (m_reads_requests && should_pause_input()) {
+    // Reading continues while requests are held and after the last request, so that the close by the caller
+    // is detected; after the last request the input is discarded.
+    const bool may_buffer = m_receiving == nullptr && m_unparsed_input.size() < max_unparsed_input;
+    if (m_reads_requests && should_pause_input() && !may_buffer) {
         ev_io_stop(m_core.loop, &m_readable);
     } else {
         ev_io_start(m_core.loop, &m_readable);
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -1,5 +1,8 @@
 #include "http_fixture.hpp"
 
+#include <csignal>
+#include <sys/wait.h>
+
 namespace endivelever::http_test {
 namespace {
 
@@ -11,6 +14,27 @@
     return n;
 }
 
+// Guards against an event of a connection that was closed while a child process holds its descriptor.
+TEST(sequential_http_server, forgets_a_connection_that_a_child_process_holds) {
+    test_loop loop;
+    echo_server echo(loop.get(), server_options(false));
+    auto caller = raw_socket::connect_to(echo.server->port());
+    caller.send_some("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(loop.run_until([&] { return echo.completed == 1; }));
+    const auto child = fork();
+    if (child == 0) {
+        caller.close();
+        alarm(20);
+        pause();
+        _exit(0);
+    }
+    caller.close();
+    EXPECT_TRUE(loop.run_until([&] { return echo.server->open_connections() == 0; }));
+    loop.run_for(20ms);
+    kill(child, SIGKILL);
+    waitpid(child, nullptr, 0);
+}
+
 class any_http_server : public testing::TestWithParam<bool> {
   protected:
     static http_server::options options() { return server_options(GetParam()); }
@@ -401,6 +425,18 @@
     EXPECT_EQ("/32", targets.back());
 }
 
+// Guards against work for a caller that has left while its next requests are held.
+TEST_F(pipelining_test, close_is_noticed_while_next_requests_are_held) {
+    send_requests(1);
+    ASSERT_TRUE(wait_for_requests(1));
+    open[0]->hold_next_requests();
+    send_requests(2);
+    loop.run_for(20ms);
+    EXPECT_EQ(1U, open.size());
+    caller.close();
+    EXPECT_TRUE(loop.run_until([&] { return echo.aborted == 1; }, 5s));
+}
+
 // Guards against unbounded memory use for responses that a caller does not read.
 TEST_F(pipelining_test, no_request_is_read_while_the_response_buffer_is_exceeded) {
     send_requests(2);
