Pause the parser before input that must wait

Cause: the parser pauses itself only while it parses; input that arrives while requests are held was parsed all the same. Change: it is paused before such input.

--- a/src/net/pipelined_connection.cpp
+++ b/src/net/pipelined_connection.cpp
@@ -83,6 +83,7 @@
     if (n <= 0) {
         m_ended = true;
     } else if (m_reads_requests) {
+        pause_if_needed();
         parse({buf.data(), static_cast<std::size_t>(n)});
     }
     schedule_processing();
