--- /dev/null
+++ b/tests/contract/odd_name_test.cpp
@@ -0,0 +1,135 @@
+#include "contract/gateway_fixture.hpp"
+
+#include <set>
+
+namespace endivelever::http_test {
+namespace {
+
+struct odd_name_case {
+    const char* name;
+    std::string suffix; ///< of the entry's name
+};
+
+const std::array odd_names{
+    odd_name_case{"ampersand", "&after=i-"},
+    odd_name_case{"plus", "+5"},
+    odd_name_case{"hash", "#x"},
+    odd_name_case{"blank", " x"},
+    odd_name_case{"percent_encoded", "%20x"},
+    odd_name_case{"percent", "%zz"},
+    odd_name_case{"question_mark", "?watch=1"},
+    odd_name_case{"path", "/../x"},
+    odd_name_case{"semicolon", ";a=b"},
+    odd_name_case{"quote_and_backslash", "\"\\x"},
+    odd_name_case{"beyond_ascii", "\xc3\xa9\xe4\xb8\xad"},
+    odd_name_case{"line_break", "\r\nX-Added: 1"},
+    odd_name_case{"control_character", "\x01"},
+    odd_name_case{"zero", std::string(1, '\0')},
+};
+
+std::string test_name(const testing::TestParamInfo<odd_name_case>& it) {
+    return it.param.name;
+}
+
+/// The entry is the last one of its page, so that the next page is asked for by its name.
+struct odd_name : gateway_fixture, testing::WithParamInterface<odd_name_case> {
+    static constexpr std::size_t servers = 10;
+    static constexpr std::size_t gateway_count = 3;
+
+    [[nodiscard]] static std::string entry_name() { return "i-2" + GetParam().suffix; }
+
+    void put_servers() {
+        store.page_size = 4;
+        put_config("00000001");
+        for (std::size_t i = 0; i < servers; ++i) {
+            add_target("i-" + std::to_string(i));
+        }
+    }
+
+    void start_gateways() {
+        for (std::size_t i = 0; i < gateway_count; ++i) {
+            add_gateway("vm-" + std::to_string(i));
+        }
+    }
+
+    bool all_know_the_servers() {
+        return loop.run_until(
+            [&] {
+                return std::all_of(gateways.begin(), gateways.end(), [](const auto& it) {
+                    return is_ready(it->board()) && it->board().registry.entries.size() == servers;
+                });
+            },
+            10s);
+    }
+};
+
+// Guards against an entry of another writer whose name makes the list of servers unreadable.
+TEST_P(odd_name, of_a_server_leaves_the_others_usable) {
+    put_servers();
+    store.put("servers", entry_name(), {{"service", 7}});
+    start_gateways();
+    ASSERT_TRUE(all_know_the_servers());
+    for (auto& it : gateways) {
+        EXPECT_EQ(200U, call(*it, "/again/x", it->board().conf.vm.text).status);
+    }
+    EXPECT_EQ(0U, store.invalid_targets);
+    EXPECT_LT(store.lists, 10U * gateway_count);
+}
+
+// Guards against an entry whose name makes the configuration or the list of VMs unreadable.
+TEST_P(odd_name, of_another_kind_leaves_the_others_readable) {
+    put_servers();
+    for (const auto* kind : {"config", "gateway-vms"}) {
+        for (const auto* before : {"a", "b", "c"}) {
+            store.put(kind, before, {{"other", 1}});
+        }
+        store.put(kind, "d" + GetParam().suffix, {{"other", 1}});
+    }
+    start_gateways();
+    EXPECT_TRUE(all_know_the_servers());
+    EXPECT_TRUE(loop.run_until(
+        [&] {
+            return std::all_of(gateways.begin(), gateways.end(), [](const auto& it) {
+                return it->board().peers.fleet_size == gateway_count && it->board().registered;
+            });
+        },
+        10s));
+    EXPECT_EQ(0U, store.invalid_targets);
+}
+
+// Guards against an entry whose name spoils the requests for changes that follow it.
+TEST_P(odd_name, in_a_watch_leaves_the_others_usable) {
+    put_servers();
+    start_gateways();
+    ASSERT_TRUE(all_know_the_servers());
+    store.put("servers", entry_name(), {{"service", 7}});
+    store.remove("servers", "i-9");
+    const auto all_know = [&](std::size_t n) {
+        return loop.run_until(
+            [&] {
+                return std::all_of(gateways.begin(), gateways.end(),
+                                   [&](const auto& it) { return it->board().registry.entries.size() == n; });
+            },
+            10s);
+    };
+    EXPECT_TRUE(all_know(servers - 1));
+    store.remove("servers", entry_name());
+    store.remove("servers", "i-8");
+    EXPECT_TRUE(all_know(servers - 2));
+    EXPECT_EQ(0U, store.invalid_targets);
+}
+
+// Guards against a VM that cannot write its entry because of its name.
+TEST_P(odd_name, of_a_vm_is_written_as_it_is) {
+    put_config("00000001");
+    const auto name = "vm" + GetParam().suffix;
+    store.put("gateway-vms", name, {{"other", 1}});
+    auto& gateway = add_gateway(name);
+    EXPECT_TRUE(loop.run_until([&] { return gateway.board().registered; }, 10s));
+    EXPECT_EQ(0U, store.invalid_targets);
+}
+
+INSTANTIATE_TEST_SUITE_P(names, odd_name, testing::ValuesIn(odd_names), test_name);
+
+} // namespace
+} // namespace endivelever::http_test
--- a/tests/fakes/fake_object_store.cpp
+++ b/tests/fakes/fake_object_store.cpp
@@ -1,24 +1,63 @@
 #include "fakes/fake_object_store.hpp"
 
 #include <algorithm>
+#include <curl/curl.h>
+#include <sstream>
 
 namespace endivelever::http_test {
 namespace {
 
 using nlohmann::json;
 
-std::string query_value(const std::string& target, const std::string& name) {
-    const auto at = target.find(name + "=");
-    if (at == std::string::npos) {
-        return {};
+constexpr std::string_view path_prefix = "/api/objects/";
+constexpr std::size_t max_target_bytes = 8000;
+
+/// Request target of a call, percent-decoded.
+struct store_target {
+    std::string kind;
+    std::string name; ///< empty if the call is for the kind
+    std::map<std::string, std::string> query;
+};
+
+std::string percent_decode(const std::string& text) {
+    int n = 0;
+    const std::unique_ptr<char, decltype(&curl_free)> decoded(
+        curl_easy_unescape(nullptr, text.c_str(), static_cast<int>(text.size()), &n), &curl_free);
+    return {decoded.get(), static_cast<std::size_t>(n)};
+}
+
+bool is_valid_target(std::string_view target) {
+    constexpr std::string_view allowed = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789"
+                                         "-._~!$&'()*+,;=:@/?%";
+    return target.size() <= max_target_bytes && target.starts_with(path_prefix) &&
+           target.find_first_not_of(allowed) == std::string_view::npos;
+}
+
+/// Values of forms may write a blank as "+".
+std::string form_value(std::string text) {
+    std::replace(text.begin(), text.end(), '+', ' ');
+    return percent_decode(text);
+}
+
+store_target parse_target(const std::string& target) {
+    const auto path_end = std::min(target.find('?'), target.size());
+    const auto path = target.substr(path_prefix.size(), path_end - path_prefix.size());
+    const auto kind_end = std::min(path.find('/'), path.size());
+    store_target out;
+    out.kind = path.substr(0, kind_end);
+    out.name = kind_end == path.size() ? "" : percent_decode(path.substr(kind_end + 1));
+    std::istringstream query(target.substr(std::min(path_end + 1, target.size())));
+    for (std::string part; std::getline(query, part, '&');) {
+        const auto at = std::min(part.find('='), part.size());
+        out.query[part.substr(0, at)] = form_value(part.substr(std::min(at + 1, part.size())));
     }
-    const auto begin = at + name.size() + 1;
-    return target.substr(begin, target.find('&', begin) - begin);
+    return out;
 }
 
 } // namespace
 
-fake_object_store::fake_object_store(struct ev_loop* loop, std::size_t page_size) : m_page_size(page_size) {
+fake_object_store::fake_object_store(struct ev_loop* loop, std::size_t objects_per_page)
+    : page_size(objects_per_page) {
     http_server::handlers handlers;
     handlers.on_head = [](http_exchange& /*exchange*/) {};
     handlers.on_body = [this](http_exchange& exchange, std::string_view data) {
@@ -97,18 +136,20 @@
     case manner::serves:
         break;
     }
-    const auto path = exchange.path();
-    const std::string prefix = "/api/objects/";
-    const auto kind = path.substr(prefix.size(), path.find('/', prefix.size()) - prefix.size());
-    const auto& target = exchange.target();
+    if (!is_valid_target(exchange.target())) {
+        ++invalid_targets;
+        exchange.respond(400, {}, "request target is not valid");
+        return;
+    }
+    auto target = parse_target(exchange.target());
     if (exchange.method() != "GET") {
-        answer_write(exchange, kind, body);
-    } else if (const auto since = query_value(target, "watch"); !since.empty()) {
-        answer_watch(exchange, kind, std::stoull(since), query_value(target, "wait_ms") != "1");
-    } else if (path.size() > prefix.size() + kind.size() + 1) {
-        answer_get(exchange, kind, path.substr(prefix.size() + kind.size() + 1));
+        answer_write(exchange, target.kind, body);
+    } else if (const auto& since = target.query["watch"]; !since.empty()) {
+        answer_watch(exchange, target.kind, std::stoull(since), target.query["wait_ms"] != "1");
+    } else if (!target.name.empty()) {
+        answer_get(exchange, target.kind, target.name);
     } else {
-        answer_list(exchange, kind, query_value(target, "after"));
+        answer_list(exchange, target.kind, target.query["after"]);
     }
 }
 
@@ -131,7 +172,7 @@
         if (it.first <= after) {
             continue;
         }
-        if (items.size() == m_page_size) {
+        if (items.size() == page_size) {
             truncated = true;
             break;
         }
--- a/tests/fakes/fake_object_store.hpp
+++ b/tests/fakes/fake_object_store.hpp
@@ -12,12 +12,12 @@
 namespace endivelever::http_test {
 
 /// In-process stand-in of the platform's object store: lists in pages, watches, creates and replaces, and
-/// misbehaves as a test tells it to.
+/// misbehaves as a test tells it to. It rejects request targets that are not valid by RFC 3986.
 class fake_object_store {
   public:
     enum class manner { serves, refuses, limits, silent, closes };
 
-    explicit fake_object_store(struct ev_loop* loop, std::size_t page_size = 500);
+    explicit fake_object_store(struct ev_loop* loop, std::size_t objects_per_page = 500);
     ~fake_object_store() { m_server.reset(); }
     fake_object_store(const fake_object_store&) = delete;
     fake_object_store& operator=(const fake_object_store&) = delete;
@@ -37,6 +37,8 @@
     [[nodiscard]] bool has(const std::string& kind, const std::string& name) const;
 
     manner behaviour = manner::serves;
+    std::size_t page_size;
+    std::size_t invalid_targets = 0; ///< requests that were rejected for their target
     int lost_writes = 0; ///< so many writes are done and not answered
     std::size_t lists = 0;
     std::size_t watches = 0;
@@ -62,7 +64,6 @@
     bool answer_changes(const waiting_watch& it);
     void note_change(const std::string& kind, const nlohmann::json& object, bool deleted);
 
-    std::size_t m_page_size;
     std::uint64_t m_revision = 10;
     std::uint64_t m_history_begin = 10;
     std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
