Use a libcurl handle for one transfer only

Callers saw: every process that received such an answer ended, with all of its requests in progress: a response whose first line behind the status line begins with a blank or a tab. Cause: the client reset and reused the handles of libcurl. libcurl 7.88 keeps a pointer to the last header line of a transfer to append folded lines to it; curl_easy_reset() leaves the pointer, and the next transfer frees what it points to. A folded line that comes first in a head, or first in an interim head, was appended to freed memory. Heads are checked in a callback that runs after this. Change: each transfer gets a handle of its own, which is cleaned up with it, so that no state of a response outlives its transfer. Connections belong to the multi handle and are kept as before. The raw server of the tests reads request bodies. Why it works: a new handle has no last header line that could be followed.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr long max_cached_connections = 8192;
-constexpr std::size_t max_idle_handles = 32;
 constexpr duration progress_check_interval = std::chrono::milliseconds(10);
 /// A longer time between two progress checks means that this process was not scheduled in between.
 constexpr duration max_progress_check_gap = std::chrono::milliseconds(50);
@@ -56,9 +55,6 @@
         release(*entry.second);
     }
     transfers.clear();
-    for (auto* easy : idle_handles) {
-        curl_easy_cleanup(easy);
-    }
     curl_multi_cleanup(multi);
 }
 
@@ -222,12 +218,7 @@
             continue;
         }
         auto& it = *found->second;
-        if (idle_handles.empty()) {
-            it.easy = curl_easy_init();
-        } else {
-            it.easy = idle_handles.back();
-            idle_handles.pop_back();
-        }
+        it.easy = curl_easy_init();
         prepare_handle(it);
         it.last_progress = boot_clock::now();
         it.added = true;
@@ -300,12 +291,9 @@
     if (it.easy != nullptr) {
         // Removing a handle during a transfer closes its connection.
         curl_multi_remove_handle(multi, it.easy);
-        curl_easy_reset(it.easy);
-        if (idle_handles.size() < max_idle_handles) {
-            idle_handles.push_back(it.easy);
-        } else {
-            curl_easy_cleanup(it.easy);
-        }
+        // curl_easy_reset() keeps a pointer to the last header line, which libcurl 7.88 follows if the first
+        // line of the next response is folded.
+        curl_easy_cleanup(it.easy);
         it.easy = nullptr;
     }
     curl_slist_free_all(it.header_list);
--- a/src/net/http_client_core.hpp
+++ b/src/net/http_client_core.hpp
@@ -36,7 +36,6 @@
     std::vector<transfer_id> to_add;
     std::vector<transfer_id> to_resume;
     std::vector<transfer_id> to_cancel;
-    std::vector<CURL*> idle_handles;
     transfer_id last_id = 0;
     time_point last_progress_check{};
     bool timeout_due = false;
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -10,7 +10,7 @@
 
 struct client_core;
 
-/// One transfer and its libcurl handle. Handles are reused to avoid the allocations of a new one.
+/// One transfer and its libcurl handle, which no other transfer uses.
 struct transfer_state {
     client_core* core = nullptr;
     transfer_id id = 0;
--- a/tests/contract/http_client_test.cpp
+++ b/tests/contract/http_client_test.cpp
@@ -163,6 +163,49 @@
                                  "X-Word: value\r\n"}),
     [](const auto& it) { return it.param.name; });
 
+struct folded_case {
+    const char* name;
+    const char* response;
+};
+
+class folded_line : public testing::TestWithParam<folded_case> {};
+
+// Guards against a line of one response that libcurl takes for the continuation of a line of an earlier one.
+TEST_P(folded_line, behind_other_responses_is_malformed) {
+    constexpr std::size_t rounds = 20;
+    test_loop loop;
+    std::vector<scripted_server::step> steps;
+    for (std::size_t i = 0; i < rounds; ++i) {
+        steps.push_back({complete_response, after::keep});
+        steps.push_back({GetParam().response, after::close});
+    }
+    scripted_server server(loop.get(), std::move(steps));
+    http_client client(loop.get(), 0);
+    http_request request;
+    request.address = server.listener.address();
+    for (std::size_t i = 0; i < rounds; ++i) {
+        const auto sound = fetch_and_wait(loop, client, request);
+        EXPECT_EQ(transfer_failure::none, sound.result.failure) << sound.result.detail;
+        EXPECT_EQ("ok", sound.body);
+        const auto folded = fetch_and_wait(loop, client, request);
+        EXPECT_NE(transfer_failure::none, folded.result.failure);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    places, folded_line,
+    testing::Values(
+        folded_case{"behind_the_status_line",
+                    "HTTP/1.1 200 OK\r\n Content-Length: 2\r\nContent-Length: 2\r\n\r\nok"},
+        folded_case{"tab_behind_the_status_line", "HTTP/1.1 200 OK\r\n\tX: 2\r\nContent-Length: 2\r\n\r\nok"},
+        folded_case{"behind_a_field", "HTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length: 2\r\n\r\nok"},
+        folded_case{"in_an_interim_head", "HTTP/1.1 103 Early Hints\r\n X: 2\r\n\r\n"
+                                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+        folded_case{"behind_an_interim_head", "HTTP/1.1 103 Early Hints\r\nX: 2\r\n\r\n"
+                                              "HTTP/1.1 200 OK\r\n X: 3\r\nContent-Length: 2\r\n\r\nok"},
+        folded_case{"blanks_only", "HTTP/1.1 200 OK\r\n   \r\nContent-Length: 2\r\n\r\nok"}),
+    [](const auto& it) { return it.param.name; });
+
 // Guards against a refused connection that is reported as a request which may have been run.
 TEST(http_client, refused_connection_is_not_sent) {
     test_loop loop;
--- a/tests/contract/raw_server_fixture.hpp
+++ b/tests/contract/raw_server_fixture.hpp
@@ -10,6 +10,12 @@
     std::vector<std::unique_ptr<raw_socket>> peers;
     std::vector<std::string> ran; ///< ids in the order of arrival
 
+    static std::size_t body_length(const std::string& head) {
+        const std::string name = "Content-Length: ";
+        const auto at = head.find(name);
+        return at == std::string::npos ? 0 : std::stoul(head.substr(at + name.size()));
+    }
+
     /// Handles what has arrived. `answer` writes the response to the request with that id.
     void serve(const std::function<void(raw_socket&, const std::string& id)>& answer) {
         while (auto peer = listener.accept_one()) {
@@ -22,7 +28,11 @@
                 continue;
             }
             const auto head = it->received.substr(0, end + 2);
-            it->received.erase(0, end + 4);
+            const auto size = end + 4 + body_length(head);
+            if (it->received.size() < size) {
+                continue;
+            }
+            it->received.erase(0, size);
             if (head.starts_with("GET /health")) {
                 it->send_some("HTTP/1.1 200 OK\r\nX-Instance-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n");
                 continue;
