Reject responses with another transfer encoding than chunked

Found by the check of other places that read answers. Callers saw: a 200 with the server's signature and a body that was cut off, if the server sent "Transfer-Encoding: identity" or an empty one. Cause: the client took any Transfer-Encoding for a body whose end can be told; libcurl reads such a body until the connection ends. Change: a response has no Transfer-Encoding, or one, and that is "chunked". The system asks for no other encoding, so no server may use one (RFC 9112, 6.1). Evidence: contract.odd_head.framing, cases identity and empty_encoding: 200 without the change, 502 now; gzip, unknown, chunked_not_last were 502 before. chunked_twice was added with the change and not run without it.

--- a/src/net/http_framing.cpp
+++ b/src/net/http_framing.cpp
@@ -79,6 +79,19 @@
     return true;
 }
 
+bool has_valid_encoding(const http_headers& headers) {
+    std::size_t encodings = 0;
+    for (const auto& it : headers) {
+        if (header_names_equal(it.name, "Transfer-Encoding")) {
+            ++encodings;
+            if (encodings > 1 || !header_names_equal(it.value, "chunked")) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
 bool is_framing_header(std::string_view name) {
     return header_names_equal(name, "Content-Length") || header_names_equal(name, "Transfer-Encoding") ||
            header_names_equal(name, "Connection");
--- a/src/net/http_framing.hpp
+++ b/src/net/http_framing.hpp
@@ -45,6 +45,10 @@
 /// @return false if the Content-Length headers of a response do not name one length in 63 bits
 bool has_valid_length(const http_headers& headers);
 
+/// @return false if a response has another transfer encoding than "chunked", or several. Nothing asks servers
+/// for one, and a body without chunks ends with the connection, so that a truncated one looks complete.
+bool has_valid_encoding(const http_headers& headers);
+
 /// Resets the connection. A normal close would make a close-delimited body look complete.
 void reset_connection(int fd);
 
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -41,7 +41,7 @@
         it.status_line_done = false;
         return true;
     }
-    it.malformed_head = !has_valid_length(it.response_headers);
+    it.malformed_head = !has_valid_length(it.response_headers) || !has_valid_encoding(it.response_headers);
     if (it.malformed_head) {
         return false;
     }
--- a/tests/contract/raw_server_test.cpp
+++ b/tests/contract/raw_server_test.cpp
@@ -303,12 +303,19 @@
 
 INSTANTIATE_TEST_SUITE_P(
     framing, odd_head,
-    testing::Values(
-        odd_framing("blank_behind_length_cut_body", "Content-Length : 9", "body"),
-        odd_framing("blank_behind_length_longer_body", "Content-Length : 4", "body and more"),
-        odd_framing("tab_behind_length", "Content-Length\t: 9", "body"),
-        odd_framing("blank_behind_encoding", "Transfer-Encoding : chunked", "4\r\nbody\r\n0\r\n\r\n"),
-        odd_framing("blank_behind_encoding_cut_body", "Transfer-Encoding : chunked", "9\r\nbody")),
+    testing::Values(odd_framing("blank_behind_length_cut_body", "Content-Length : 9", "body"),
+                    odd_framing("blank_behind_length_longer_body", "Content-Length : 4", "body and more"),
+                    odd_framing("tab_behind_length", "Content-Length\t: 9", "body"),
+                    odd_framing("blank_behind_encoding", "Transfer-Encoding : chunked",
+                                "4\r\nbody\r\n0\r\n\r\n"),
+                    odd_framing("blank_behind_encoding_cut_body", "Transfer-Encoding : chunked", "9\r\nbody"),
+                    odd_framing("identity", "Transfer-Encoding: identity", "body"),
+                    odd_framing("gzip", "Transfer-Encoding: gzip", "body"),
+                    odd_framing("unknown", "Transfer-Encoding: other", "body"),
+                    odd_framing("empty_encoding", "Transfer-Encoding:", "body"),
+                    odd_framing("chunked_not_last", "Transfer-Encoding: chunked, identity", "body"),
+                    odd_framing("chunked_twice", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                                "4\r\nbody\r\n0\r\n\r\n")),
     [](const auto& it) { return it.param.name; });
 
 // Guards against a long refusal of the second server that ends a request which
