End a list that makes no progress, and begin pages behind plain names

Found by the check of other places that read entries. Callers saw: nothing while the VMs knew the servers already; after a restart, no request was served while the last entry of a page had a name of thousands of bytes, which makes a target longer than a store reads. A store whose pages did not go on was asked again without a pause, and the list grew without a bound. Cause: the name of the last entry of a page went into the next request whatever it was, and the list ended only when the store said so. The two places that read lists each had this loop. Change: store/object_listing holds a list in progress, for both. A page adds the objects that are new; one that adds none although more are said to follow is a failure, retried with back-off, and the list is not taken for complete. The next page begins behind the last name that a request holds as it is, if the page has one, else behind its last name; objects behind that name are read again. Evidence: without the change, contract.long_odd_name fails in 2 of 2 cases, and reflector_fixture.list_that_does_not_go_on_is_a_failure: store.lists Which is: 101 (6 expected), failures: 0 (3 expected) within 4 ms. Both pass now, with unit.two_pages and unit.endless_list. pages_of_odd_names passed before. Why it works: each page adds a name, so a list of finitely many ends, and a name without reserved characters needs no encoding that a store might read otherwise.

--- a/include/endivelever/store/object_reflector.hpp
+++ b/include/endivelever/store/object_reflector.hpp
@@ -2,6 +2,7 @@
 
 #include "endivelever/base/random.hpp"
 #include "endivelever/net/event_loop.hpp"
+#include "endivelever/store/object_listing.hpp"
 #include "endivelever/store/object_protocol.hpp"
 
 #include <functional>
@@ -74,8 +75,7 @@
     timer m_next_call;
     std::optional<transfer_id> m_call;
     std::optional<transfer_id> m_check;
-    std::vector<stored_object> m_partial_list;
-    object_revision m_list_revision;
+    object_listing m_listing; ///< list in progress
     time_point m_list_started_at{};
     time_point m_confirmed_at{};
     object_revision m_revision;
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -259,8 +259,8 @@
 /// @param take        receives all objects and the revision of the first page
 /// @param on_failure  called if a page could not be read
 void read_list(gateway_board& board, const object_kind& kind, const list_request_factory& call,
-               list_callback take, std::function<void()> on_failure, object_page so_far = {}) {
-    auto request = call(kind, so_far.objects.empty() ? "" : so_far.objects.back().name);
+               list_callback take, std::function<void()> on_failure, object_listing so_far = {}) {
+    auto request = call(kind, so_far.after);
     send_store_request(
         board, std::move(request),
         [&board, kind, call, take = std::move(take), on_failure = std::move(on_failure),
@@ -270,24 +270,21 @@
             auto page = answered
                             ? board.dialect.store.parse_page(reply.body)
                             : result<object_page>(fail("gateway", 1, "object store did not return a list"));
-            if (!page) {
+            const auto added =
+                page ? add_page(so_far, std::move(*page)) : result<void>(tl::unexpected(page.error()));
+            if (!added) {
                 count(board, "store_failures_total");
                 write_event(board.log, "store_list_failed",
                             {{"kind", kind.text},
                              {"status", static_cast<std::int64_t>(reply.result.status)},
-                             {"cause", answered ? page.error().message : reply.result.detail}});
+                             {"cause", answered ? added.error().message : reply.result.detail}});
                 on_failure();
                 return;
             }
-            if (so_far.objects.empty()) {
-                so_far.revision = page->revision;
-            }
-            const bool more = page->has_more && !page->objects.empty();
-            std::move(page->objects.begin(), page->objects.end(), std::back_inserter(so_far.objects));
-            if (more) {
-                read_list(board, kind, call, std::move(take), std::move(on_failure), std::move(so_far));
-            } else {
+            if (so_far.is_complete) {
                 take(so_far.objects, so_far.revision);
+            } else {
+                read_list(board, kind, call, std::move(take), std::move(on_failure), std::move(so_far));
             }
         });
 }
--- a/src/store/object_reflector.cpp
+++ b/src/store/object_reflector.cpp
@@ -46,7 +46,7 @@
         m_call.reset();
     }
     m_has_list = false;
-    m_partial_list.clear();
+    m_listing = {};
     m_next_call.start(duration::zero());
 }
 
@@ -115,10 +115,10 @@
 }
 
 void object_reflector::list_next_page() {
-    auto request = m_access.protocol.list(m_kind, m_partial_list.empty() ? "" : m_partial_list.back().name);
+    auto request = m_access.protocol.list(m_kind, m_listing.after);
     request.timeout = list_timeout;
     ++m_access.counts.lists;
-    if (m_partial_list.empty()) {
+    if (m_listing.objects.empty()) {
         m_list_started_at = boot_clock::now();
     }
     send(std::move(request), &object_reflector::handle_page);
@@ -140,23 +140,22 @@
         handle_failure(page.error().message);
         return;
     }
-    if (m_partial_list.empty()) {
-        // Watching from the revision of the first page also returns changes made while later pages were read.
-        m_list_revision = page->revision;
+    if (const auto added = add_page(m_listing, std::move(*page)); !added) {
+        handle_failure(added.error().message);
+        return;
     }
-    std::move(page->objects.begin(), page->objects.end(), std::back_inserter(m_partial_list));
     m_callbacks.on_answer();
-    if (page->has_more && !page->objects.empty()) {
+    if (!m_listing.is_complete) {
         m_next_call.start(duration::zero());
         return;
     }
     m_has_list = true;
     m_back_off = initial_back_off;
-    m_revision = m_list_revision;
+    m_revision = m_listing.revision;
     m_confirmed_at = m_list_started_at;
-    const auto listed = std::exchange(m_partial_list, {});
+    const auto listed = std::exchange(m_listing, {});
     m_next_call.start(duration::zero());
-    m_callbacks.on_list(listed, m_revision);
+    m_callbacks.on_list(listed.objects, m_revision);
 }
 
 void object_reflector::handle_changes(const http_reply& reply) {
@@ -188,7 +187,7 @@
     ++m_access.counts.failures;
     // Retries with a list, which returns at once when the store is back; a watch would wait for a change.
     m_has_list = false;
-    m_partial_list.clear();
+    m_listing = {};
     const double jitter = 0.5 + random_unit(*m_access.random);
     m_next_call.start(duration(static_cast<duration::rep>(static_cast<double>(m_back_off.count()) * jitter)));
     m_back_off = std::min(m_back_off * 2, max_back_off);
--- a/tests/contract/object_reflector_test.cpp
+++ b/tests/contract/object_reflector_test.cpp
@@ -66,6 +66,22 @@
     EXPECT_EQ(1U, lists);
 }
 
+// Guards against calls without end to a store whose list does not go on, and against a list that is taken for
+// complete.
+TEST_F(reflector_fixture, list_that_does_not_go_on_is_a_failure) {
+    for (const auto* name : {"a", "b", "c"}) {
+        store.put("things", name, 1);
+    }
+    store.repeats_pages = true;
+    start();
+    ASSERT_TRUE(loop.run_until([&] { return failures == 3 || store.lists > 100; }));
+    EXPECT_EQ(3U, failures);
+    EXPECT_EQ(6U, store.lists);
+    EXPECT_EQ(0U, lists);
+    store.repeats_pages = false;
+    EXPECT_TRUE(reports_names({"a", "b", "c"}));
+}
+
 // Guards against a missed removal: the store no longer has the history since the watched revision.
 TEST_F(reflector_fixture, relists_when_the_history_is_gone) {
     store.put("things", "a", 1);
--- a/tests/contract/odd_name_test.cpp
+++ b/tests/contract/odd_name_test.cpp
@@ -31,13 +31,10 @@
     return it.param.name;
 }
 
-/// The entry is the last one of its page, so that the next page is asked for by its name.
-struct odd_name : gateway_fixture, testing::WithParamInterface<odd_name_case> {
+struct odd_name_fixture : gateway_fixture {
     static constexpr std::size_t servers = 10;
     static constexpr std::size_t gateway_count = 3;
 
-    [[nodiscard]] static std::string entry_name() { return "i-2" + GetParam().suffix; }
-
     void put_servers() {
         store.page_size = 4;
         put_config("00000001");
@@ -63,6 +60,11 @@
     }
 };
 
+/// The entry is the last one of its page, behind which the next one begins.
+struct odd_name : odd_name_fixture, testing::WithParamInterface<odd_name_case> {
+    [[nodiscard]] static std::string entry_name() { return "i-2" + GetParam().suffix; }
+};
+
 // Guards against an entry of another writer whose name makes the list of servers unreadable.
 TEST_P(odd_name, of_a_server_leaves_the_others_usable) {
     put_servers();
@@ -76,6 +78,41 @@
     EXPECT_LT(store.lists, 10U * gateway_count);
 }
 
+struct long_odd_name : odd_name {};
+
+// Guards against a name that makes the target of the next request longer than a store reads.
+TEST_P(long_odd_name, of_a_server_leaves_the_others_usable) {
+    put_servers();
+    store.put("servers", entry_name(), {{"service", 7}});
+    start_gateways();
+    ASSERT_TRUE(all_know_the_servers());
+    EXPECT_EQ(0U, store.invalid_targets);
+}
+
+std::string repeated(const char* text, std::size_t n) {
+    std::string out;
+    for (std::size_t i = 0; i < n; ++i) {
+        out += text;
+    }
+    return out;
+}
+
+INSTANTIATE_TEST_SUITE_P(names, long_odd_name,
+                         testing::Values(odd_name_case{"ascii", repeated("n", 9000)},
+                                         odd_name_case{"beyond_ascii", repeated("\xc3\xa9", 3000)}),
+                         test_name);
+
+// Guards against a list that does not go on behind a page of odd names.
+TEST_F(odd_name_fixture, pages_of_odd_names_leave_the_others_usable) {
+    put_servers();
+    for (const auto* suffix : {" a", " b", "#c", "&d", "+e", "%20f", "%zz", "?h", "/i"}) {
+        store.put("servers", std::string("i-2") + suffix, {{"service", 7}});
+    }
+    start_gateways();
+    ASSERT_TRUE(all_know_the_servers());
+    EXPECT_EQ(0U, store.invalid_targets);
+}
+
 // Guards against an entry whose name makes the configuration or the list of VMs unreadable.
 TEST_P(odd_name, of_another_kind_leaves_the_others_readable) {
     put_servers();
--- a/tests/fakes/fake_object_store.cpp
+++ b/tests/fakes/fake_object_store.cpp
@@ -169,7 +169,7 @@
     json items = json::array();
     bool truncated = false;
     for (const auto& it : m_objects[kind]) {
-        if (it.first <= after) {
+        if (!repeats_pages && it.first <= after) {
             continue;
         }
         if (items.size() == page_size) {
--- a/tests/fakes/fake_object_store.hpp
+++ b/tests/fakes/fake_object_store.hpp
@@ -38,8 +38,9 @@
 
     manner behaviour = manner::serves;
     std::size_t page_size;
+    bool repeats_pages = false;      ///< each page of a list is the first one
     std::size_t invalid_targets = 0; ///< requests that were rejected for their target
-    int lost_writes = 0; ///< so many writes are done and not answered
+    int lost_writes = 0;             ///< so many writes are done and not answered
     std::size_t lists = 0;
     std::size_t watches = 0;
     std::size_t writes = 0;
