Reject responses whose status is above 599

Found by the check of other places that read answers. Callers saw: a status of 600 to 999 that a server in trouble had sent, with the server's signature, as with status 000 in the report. Cause: the client accepted each status of three digits from 100 on. Change: a status is within 100 to 599, as RFC 9110 defines; another one makes the head malformed. Callers get 502, the class that RFC 9110 asks for.

--- a/src/net/http_framing.cpp
+++ b/src/net/http_framing.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::string_view whitespace = " \t";
 constexpr unsigned first_status = 100;
-constexpr unsigned last_status = 999;
+constexpr unsigned last_status = 599;
 
 bool is_token_character(char it) {
     constexpr std::string_view others = "!#$%&'*+-.^_`|~";
--- a/src/net/http_framing.hpp
+++ b/src/net/http_framing.hpp
@@ -39,7 +39,8 @@
 /// @return the header; empty if the line is malformed
 std::optional<http_header> parse_header_line(std::string_view line);
 
-/// @return status of a status line (RFC 9112, section 4); 0 if the line is malformed
+/// @return status of a status line (RFC 9112, section 4); 0 if the line is malformed or the status is not
+/// within 100 to 599 (RFC 9110, section 15)
 unsigned parse_status_line(std::string_view line);
 
 /// @return false if the Content-Length headers of a response do not name one length in 63 bits
--- a/tests/contract/raw_server_test.cpp
+++ b/tests/contract/raw_server_test.cpp
@@ -279,7 +279,8 @@
     testing::Values(odd_status("zeros", "HTTP/1.1 000 X"), odd_status("zeros_without_reason", "HTTP/1.1 000"),
                     odd_status("below_100", "HTTP/1.1 099 X"), odd_status("two_digits", "HTTP/1.1 20 X"),
                     odd_status("four_digits", "HTTP/1.1 2000 X"), odd_status("letters", "HTTP/1.1 2x0 X"),
-                    odd_status("sign", "HTTP/1.1 +20 X"),
+                    odd_status("sign", "HTTP/1.1 +20 X"), odd_status("switching_protocols", "HTTP/1.1 101 X"),
+                    odd_status("above_599", "HTTP/1.1 600 X"), odd_status("highest", "HTTP/1.1 999 X"),
                     odd_status("control_character", "HTTP/1.1 200 \x01")),
     [](const auto& it) { return it.param.name; });
 
