Read lists of definitions beside odd items, and encode their keys

Cause: one item without a key or a version made the list of preset definitions unreadable, and keys stood unencoded in paths. Change: such an item is left out, and each segment of a key is percent-encoded. Evidence: without the change, unit.store_list fails in 6 of 6 cases and contract.store_key in 3 of 5. All pass now. Not tried with real processes.

--- a/include/endivelever/store/store_answer.hpp
+++ b/include/endivelever/store/store_answer.hpp
@@ -46,7 +46,7 @@
 /// conclusive; any other outcome is `unknown` once any part of the request may have been sent.
 store_answer classify_write_reply(const http_reply& reply);
 
-/// Classifies the reply to a list request.
+/// Classifies the reply to a list request. Items without a key or a version are left out.
 store_list_answer classify_list_reply(const http_reply& reply);
 
 } // namespace endivelever
--- a/src/store/store_answer.cpp
+++ b/src/store/store_answer.cpp
@@ -94,12 +94,10 @@
     for (const auto& it : json) {
         const bool valid = it.is_object() && it.contains("key") && it["key"].is_string() &&
                            it.contains("version") && it["version"].is_number_unsigned();
-        if (!valid) {
-            return {
-                store_status::unavailable, {}, "list item lacks a string \"key\" or an unsigned \"version\""};
+        if (valid) {
+            answer.objects.push_back(
+                {document_key(it["key"].get<std::string>()), {it["version"].get<std::uint64_t>()}});
         }
-        answer.objects.push_back(
-            {document_key(it["key"].get<std::string>()), {it["version"].get<std::uint64_t>()}});
     }
     return answer;
 }
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -1,5 +1,7 @@
 #include "endivelever/store/store_client.hpp"
 
+#include "endivelever/net/percent_encoding.hpp"
+
 #include <utility>
 
 namespace endivelever {
@@ -8,8 +10,18 @@
 constexpr std::uint32_t max_store_connections = 16;
 constexpr byte_count max_reply_size{(1U << 20U) + 4096U}; // largest object of the store plus headers
 
+/// Encodes each segment of a key; slashes separate segments and stay as they are.
+std::string encode_key(std::string_view key) {
+    std::string encoded;
+    for (auto slash = key.find('/'); slash != std::string_view::npos; slash = key.find('/')) {
+        encoded += percent_encode(key.substr(0, slash)) + '/';
+        key.remove_prefix(slash + 1);
+    }
+    return encoded + percent_encode(key);
+}
+
 std::string target_path(const document_key& key) {
-    return key.text == "vm-list" ? "/v1/vms" : "/v1/objects/" + key.text;
+    return key.text == "vm-list" ? "/v1/vms" : "/v1/objects/" + encode_key(key.text);
 }
 
 std::string make_etag(document_version version) {
--- a/tests/contract/store_client_test.cpp
+++ b/tests/contract/store_client_test.cpp
@@ -132,6 +132,36 @@
     EXPECT_NE(server.requests[1].find("If-Match: \"1\""), std::string::npos);
 }
 
+struct key_case {
+    const char* name;
+    std::string key;
+    const char* path;
+};
+
+class store_key : public testing::TestWithParam<key_case> {};
+
+// Guards against a key that spoils the request for its object.
+TEST_P(store_key, is_encoded_in_the_path) {
+    test_loop loop;
+    store server(loop.get(), {store::object_response(7, "abc")});
+    store_client client(loop.get(), server.listener.address(), short_limits());
+    bool done = false;
+    client.read(document_key(GetParam().key), store_purpose::background,
+                [&](const store_answer&) { done = true; });
+    ASSERT_TRUE(loop.run_until([&] { return done; }));
+    EXPECT_TRUE(server.requests[0].starts_with(std::string("GET ") + GetParam().path + " HTTP/1.1\r\n"))
+        << server.requests[0];
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    keys, store_key,
+    testing::Values(key_case{"usual", "preset/in-force", "/v1/objects/preset/in-force"},
+                    key_case{"blank", "presets/a b", "/v1/objects/presets/a%20b"},
+                    key_case{"query", "presets/a?watch=1#x", "/v1/objects/presets/a%3Fwatch%3D1%23x"},
+                    key_case{"line_break", "presets/a\r\nX: 1", "/v1/objects/presets/a%0D%0AX%3A%201"},
+                    key_case{"slash_at_the_end", "presets/", "/v1/objects/presets/"}),
+    [](const auto& it) { return it.param.name; });
+
 // Guards against background reads that use up the call budget for operators.
 TEST(store_client, refuses_background_calls_over_the_budget_but_not_changes) {
     test_loop loop;
--- a/tests/unit/store_test.cpp
+++ b/tests/unit/store_test.cpp
@@ -30,6 +30,32 @@
                                          etag_case{"too_large", "\"18446744073709551616\"", 0}),
                          [](const auto& it) { return it.param.name; });
 
+struct list_case {
+    const char* name;
+    const char* item;
+};
+
+class store_list : public testing::TestWithParam<list_case> {};
+
+// Guards against one odd item that makes the list of all objects unreadable.
+TEST_P(store_list, keeps_the_others_beside_an_odd_item) {
+    http_reply reply;
+    reply.result.status = 200;
+    reply.body = std::string("[") + GetParam().item + R"(,{"key":"presets/a","version":4}])";
+    const auto answer = classify_list_reply(reply);
+    EXPECT_EQ(answer.status, store_status::ok) << answer.detail;
+    ASSERT_EQ(answer.objects.size(), 1U);
+    EXPECT_EQ(answer.objects[0].key, document_key("presets/a"));
+}
+
+INSTANTIATE_TEST_SUITE_P(items, store_list,
+                         testing::Values(list_case{"null", "null"}, list_case{"text", "\"presets/b\""},
+                                         list_case{"no_key", R"({"version":4})"},
+                                         list_case{"key_of_another_type", R"({"key":7,"version":4})"},
+                                         list_case{"no_version", R"({"key":"presets/b"})"},
+                                         list_case{"negative_version", R"({"key":"b","version":-1})"}),
+                         [](const auto& it) { return it.param.name; });
+
 // Guards against a burst of calls when the store recovers from an outage.
 TEST(call_budget, holds_in_every_second_even_after_a_long_pause) {
     call_budget budget;
