Show that long lists of odd names are read

Cause: the report's lists had pages of four; real ones have pages of about 500. Change: a test with 1,200 odd entries among ten servers, pages of 500.

--- a/tests/contract/odd_name_test.cpp
+++ b/tests/contract/odd_name_test.cpp
@@ -113,6 +113,19 @@
     EXPECT_EQ(0U, store.invalid_targets);
 }
 
+// Guards against the same in a list of real length: three pages of 500 objects, most of them odd.
+TEST_F(odd_name_fixture, long_lists_of_odd_names_leave_the_others_usable) {
+    put_servers();
+    store.page_size = 500;
+    for (int i = 0; i < 1200; ++i) {
+        store.put("servers", "i-2 #&" + std::to_string(i), {{"service", 7}});
+    }
+    start_gateways();
+    ASSERT_TRUE(all_know_the_servers());
+    EXPECT_EQ(0U, store.invalid_targets);
+    EXPECT_LT(store.lists, 10U * gateway_count);
+}
+
 // Guards against an entry whose name makes the configuration or the list of VMs unreadable.
 TEST_P(odd_name, of_another_kind_leaves_the_others_readable) {
     put_servers();
