--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -270,8 +270,8 @@
             auto page = answered
                             ? board.dialect.store.parse_page(reply.body)
                             : result<object_page>(fail("gateway", 1, "object store did not return a list"));
-            const auto added =
-                page ? add_page(so_far, std::move(*page)) : result<void>(tl::unexpected(page.error()));
+            const auto added = std::move(page).and_then(
+                [&so_far](object_page it) { return add_page(so_far, std::move(it)); });
             if (!added) {
                 count(board, "store_failures_total");
                 write_event(board.log, "store_list_failed",
