--- a/tests/failure/gateway_fleet.hpp
+++ b/tests/failure/gateway_fleet.hpp
@@ -105,7 +105,10 @@
         store.put("servers", id, targets.back()->entry("desk"));
     }
 
-    void add_gateway() {
+    void add_gateway() { start(prepare_gateway()); }
+
+    /// Writes the settings of a gateway that is not started.
+    fleet_gateway& prepare_gateway() {
         const auto pid = static_cast<unsigned>(getpid());
         auto& it = gateways.emplace_back();
         const auto vm = "vm-" + std::to_string(gateways.size());
@@ -114,7 +117,7 @@
         it.settings_file = folder.write(
             vm + ".json", platform_settings(vm, it.host, store.address(), grace_period_s).dump());
         it.log_file = folder.path(vm + ".log");
-        start(it);
+        return it;
     }
 
     static void start(fleet_gateway& it) {
--- a/tests/failure/gateway_stop_test.cpp
+++ b/tests/failure/gateway_stop_test.cpp
@@ -85,6 +85,43 @@
     close(unread);
 }
 
+struct early_signal_case {
+    const char* name;
+    int signal;
+    bool serves; ///< after the signal
+};
+
+class early_signal : public testing::TestWithParam<early_signal_case> {};
+
+// Guards against a process that a signal ends while it reads its settings, before it handles signals.
+TEST_P(early_signal, is_handled_after_the_start) {
+    gateway_fleet fleet(1);
+    fleet.put_config();
+    fleet.add_target(1ms, "0,0,4,100");
+    auto& it = fleet.prepare_gateway();
+    const auto settings = it.settings_file + ".complete";
+    ASSERT_EQ(0, rename(it.settings_file.c_str(), settings.c_str()));
+    ASSERT_EQ(0, mkfifo(it.settings_file.c_str(), 0600));
+    gateway_fleet::start(it);
+    std::ofstream pipe(it.settings_file); // waits for the process to read
+    pipe << std::ifstream(settings).rdbuf() << std::flush;
+    ::kill(it.process.pid(), GetParam().signal);
+    ASSERT_EQ(0, rename(settings.c_str(), it.settings_file.c_str()));
+    pipe.close();
+    if (GetParam().serves) {
+        EXPECT_TRUE(fleet.wait_until_ready());
+    } else {
+        EXPECT_TRUE(fleet.loop.run_until([&] { return !it.process.running(); }));
+        EXPECT_EQ(EXIT_SUCCESS, it.process.exit_status());
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(signals, early_signal,
+                         testing::Values(early_signal_case{"hangup", SIGHUP, true},
+                                         early_signal_case{"terminate", SIGTERM, false},
+                                         early_signal_case{"interrupt", SIGINT, false}),
+                         [](const auto& it) { return it.param.name; });
+
 struct rolling_case {
     const char* name;
     std::uint64_t seed;
