Do not count processes that a signal ends before their first statement

The sanitizer build needs 60 ms to print its version. Until main() runs, the default action of a signal holds; no program can change that, no socket is open and no caller is served. Change of a check: an end by SIGTERM or SIGHUP is not counted if the process has written nothing in that life. An end by another signal or code, and any end after the event "started", count as before; the time between main() and that event is covered by failure.early_signal.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -336,10 +336,16 @@
         self.settings["bootstrap"] = self.life == 1
         self.write_settings()
         with open(self.log, "ab") as log:
+            self.log_size = log.tell()
             self.process = subprocess.Popen([str(self.program), f"--settings={self.file}"], stdout=log, stderr=log,
                                             preexec_fn=limit)
         self.record.write(f"process  {self.name} started, life {self.life}")
 
+    def ended_before_its_code(self):
+        """True if a signal ended the process while it was loaded: it handles signals from its first statement on."""
+        signals = (-signal.SIGTERM, -signal.SIGHUP)
+        return self.process.returncode in signals and os.path.getsize(self.log) == self.log_size
+
 
 @dataclasses.dataclass
 class Sent:
@@ -638,7 +644,7 @@
                     it.restart_at = 0.0
                 elif it.restart_at == 0.0:
                     it.restart_at = now() + self.rng.uniform(0.05, 0.5)
-                    if it.process.returncode not in (0, -signal.SIGKILL):
+                    if it.process.returncode not in (0, -signal.SIGKILL) and not it.ended_before_its_code():
                         self.wrong.append(f"ENDED {it.name}: {it.process.returncode}")
                 elif now() >= it.restart_at:
                     it.descriptors = self.rng.choice((4100, 4100, 90)) if "descriptors" in self.kinds else 4100
