Gain quota tokens by the window's quota, and take over a lease of a former life at once

Cause: a tenant may send its rate and its burst in each window; a bucket that gains the rate only refused requests below the limit. After a restart of all VMs the lease of a former life was waited for. Change: buckets gain (rate x window + burst) / window and hold part of overage and tolerance.

--- a/include/endivelever/decide/quota_bounds.hpp
+++ b/include/endivelever/decide/quota_bounds.hpp
@@ -16,8 +16,7 @@
 
 /// How far the requests of a tenant in a sliding window may exceed its quota. The overage and the tolerance
 /// are divided: part of them covers tokens that are used after the window in which they were granted, part
-/// covers requests without a grant, and part makes the buckets larger, since the requests of a small tenant
-/// come in bursts larger than its quota.
+/// covers requests without a grant, and part is the size of the buckets.
 struct quota_bounds {
     duration window{};
     double overage = 0.0;   ///< share of the quota
@@ -27,6 +26,9 @@
 /// Validity of a granted token from the sending of the request for it.
 duration token_lifetime(const quota_bounds& bounds);
 
+/// Tokens that a bucket gains each second. A tenant may send its rate and its burst in each window.
+double bucket_rate(const quota_limit& limit, const quota_bounds& bounds);
+
 /// Tokens that a full bucket holds.
 double bucket_capacity(const quota_limit& limit, const quota_bounds& bounds);
 
--- a/include/endivelever/decide/quota_bucket.hpp
+++ b/include/endivelever/decide/quota_bucket.hpp
@@ -9,6 +9,7 @@
 /// Token bucket of one tenant at the allocator of its shard.
 struct quota_bucket {
     quota_limit limit;
+    double rate = 0.0;     ///< tokens that it gains each second
     double capacity = 0.0; ///< tokens that it holds when it is full
     double tokens = 0.0;
     double unserved = 0.0; ///< requests that were refused lately; decays at the rate
--- a/include/endivelever/decide/quota_lease.hpp
+++ b/include/endivelever/decide/quota_lease.hpp
@@ -56,8 +56,9 @@
 /// @return the record with which this VM takes or renews the lease
 quota_lease_record next_record(const quota_lease& lease, vm_hash own, incarnation own_life);
 
+/// @param own       hash of this VM's id
 /// @param position  place of this VM among the candidates for the shard; 0 is the first
-quota_lease_action next_action(const quota_lease& lease, std::size_t position, time_point now);
+quota_lease_action next_action(const quota_lease& lease, vm_hash own, std::size_t position, time_point now);
 
 /// True if this VM may grant tokens of the shard.
 bool may_grant(const quota_lease& lease, time_point now);
@@ -66,6 +67,7 @@
 void note_write_started(quota_lease& lease, time_point now);
 
 /// Records that the write took effect.
+/// @param record  as written by this VM
 void note_written(quota_lease& lease, std::uint64_t revision, const quota_lease_record& record);
 
 /// Records that the write failed, or that its result is not known.
--- a/src/decide/quota_bounds.cpp
+++ b/src/decide/quota_bounds.cpp
@@ -7,29 +7,35 @@
 
 // Shares of the overage; they must not sum to more than 1.
 constexpr double lifetime_overage_share = 0.2;
-constexpr double bucket_overage_share = 0.1;
-constexpr double floor_overage_share = 0.6;
+constexpr double bucket_overage_share = 0.55;
+constexpr double floor_overage_share = 0.2;
 // Shares of the tolerance; they must not sum to more than 1.
 constexpr double bucket_tolerance_share = 0.75;
 constexpr double floor_tolerance_share = 0.2;
 
-double overage_of(const quota_limit& limit, const quota_bounds& bounds) {
-    return bounds.overage * (limit.rate * to_seconds(bounds.window) + limit.burst);
+/// Requests that the quota allows in one window.
+double window_quota(const quota_limit& limit, const quota_bounds& bounds) {
+    return limit.rate * to_seconds(bounds.window) + limit.burst;
 }
 
 } // namespace
 
+double bucket_rate(const quota_limit& limit, const quota_bounds& bounds) {
+    return window_quota(limit, bounds) / to_seconds(bounds.window);
+}
+
 duration token_lifetime(const quota_bounds& bounds) {
     return from_milliseconds(lifetime_overage_share * bounds.overage * to_milliseconds(bounds.window));
 }
 
 double bucket_capacity(const quota_limit& limit, const quota_bounds& bounds) {
-    return limit.burst + bucket_overage_share * overage_of(limit, bounds) +
+    return bucket_overage_share * bounds.overage * window_quota(limit, bounds) +
            bucket_tolerance_share * bounds.tolerance;
 }
 
 double floor_total(const quota_limit& limit, const quota_bounds& bounds) {
-    return floor_overage_share * overage_of(limit, bounds) + floor_tolerance_share * bounds.tolerance;
+    return floor_overage_share * bounds.overage * window_quota(limit, bounds) +
+           floor_tolerance_share * bounds.tolerance;
 }
 
 std::size_t floor_of_vm(const quota_limit& limit, const quota_bounds& bounds, std::size_t position,
--- a/src/decide/quota_bucket.cpp
+++ b/src/decide/quota_bucket.cpp
@@ -12,8 +12,7 @@
 constexpr double min_capacity = 1.0;
 
 void credit(quota_bucket& bucket, time_point now) {
-    const double gained =
-        bucket.limit.rate * to_seconds(std::max(duration::zero(), now - bucket.credited_at));
+    const double gained = bucket.rate * to_seconds(std::max(duration::zero(), now - bucket.credited_at));
     bucket.tokens = std::min(bucket.capacity, bucket.tokens + gained);
     bucket.unserved = std::max(0.0, bucket.unserved - gained);
     bucket.credited_at = std::max(bucket.credited_at, now);
@@ -24,12 +23,13 @@
 quota_bucket make_quota_bucket(const quota_limit& limit, const quota_bounds& bounds, bool starts_full,
                                time_point now) {
     const double capacity = std::max(min_capacity, bucket_capacity(limit, bounds));
-    return {limit, capacity, starts_full ? capacity : 0.0, 0.0, now};
+    return {limit, bucket_rate(limit, bounds), capacity, starts_full ? capacity : 0.0, 0.0, now};
 }
 
 void set_limit(quota_bucket& bucket, const quota_limit& limit, const quota_bounds& bounds, time_point now) {
     credit(bucket, now);
     bucket.limit = limit;
+    bucket.rate = bucket_rate(limit, bounds);
     bucket.capacity = std::max(min_capacity, bucket_capacity(limit, bounds));
     bucket.tokens = std::min(bucket.tokens, bucket.capacity);
 }
@@ -39,13 +39,13 @@
     quota_decision decision;
     decision.tokens = std::min(wanted, static_cast<std::uint32_t>(std::max(0.0, bucket.tokens)));
     bucket.tokens -= decision.tokens;
-    if (decision.tokens == wanted || bucket.limit.rate <= 0.0) {
+    if (decision.tokens == wanted || bucket.rate <= 0.0) {
         return decision;
     }
-    const double most = std::max(1.0, unserved_memory_s * bucket.limit.rate);
+    const double most = std::max(1.0, unserved_memory_s * bucket.rate);
     bucket.unserved = std::min(most, bucket.unserved + (wanted - decision.tokens));
     const double missing = std::max(bucket.unserved, 1.0 - bucket.tokens);
-    decision.retry_after = from_milliseconds(std::ceil(1000.0 * missing / bucket.limit.rate));
+    decision.retry_after = from_milliseconds(std::ceil(1000.0 * missing / bucket.rate));
     return decision;
 }
 
--- a/src/decide/quota_lease.cpp
+++ b/src/decide/quota_lease.cpp
@@ -8,7 +8,7 @@
     return {own, own_life, lease.record.term + 1, false};
 }
 
-quota_lease_action next_action(const quota_lease& lease, std::size_t position, time_point now) {
+quota_lease_action next_action(const quota_lease& lease, vm_hash own, std::size_t position, time_point now) {
     if (lease.is_writing) {
         return quota_lease_action::none;
     }
@@ -23,7 +23,10 @@
     if (lease.revision == 0) {
         return quota_lease_action::create;
     }
-    const auto silence = lease.record.released ? duration::zero() : quota_takeover_silence;
+    // A lease of a former life of this VM, or one that it has written without hearing the result, is in use
+    // by nobody: it was written when the lease before it had ended.
+    const bool is_unused = lease.record.released || lease.record.holder == own;
+    const auto silence = is_unused ? duration::zero() : quota_takeover_silence;
     return now - lease.learned_at >= silence + patience ? quota_lease_action::take : quota_lease_action::none;
 }
 
@@ -43,7 +46,8 @@
     }
     if (!lease.is_holder) {
         // The replaced revision was written before it was learned here.
-        const bool had_holder = lease.revision != 0 && !lease.record.released;
+        const bool had_holder =
+            lease.revision != 0 && !lease.record.released && lease.record.holder != record.holder;
         lease.grants_from = had_holder ? lease.learned_at + quota_lease_time : lease.write_started;
     }
     lease.is_holder = true;
--- a/src/gateway/quota.cpp
+++ b/src/gateway/quota.cpp
@@ -376,9 +376,9 @@
             continue;
         }
         if (lease.write_started == time_point{}) {
-            lease.write_started = board.peers.started;
+            lease.write_started = board.peers.started - quota_renewal_interval;
         }
-        const auto action = next_action(lease, position.value_or(0), now);
+        const auto action = next_action(lease, hash_of(board.conf.vm), position.value_or(0), now);
         if (action != quota_lease_action::none) {
             write_lease(board, shard, action,
                         next_record(lease, hash_of(board.conf.vm), board.own_incarnation));
