Release quota leases without granting afterwards

Cause: the answer to the write that releases a lease made the VM its holder again, and it granted tokens for up to 300 ms beside the VM that had taken the released lease at once. The same happened when a renewal was in progress at the stop. The validity was counted from the last write that had begun, which need not be the one that was answered. A VM that knew no lease granted at once after it had created the object, although the store may have lost a valid one. Nothing allowed for clocks that differ in rate.

After a create, the first grant waits for the time of a lease unless the system starts for the first time. A takeover waits 20 ms more.

--- a/include/endivelever/decide/quota_lease.hpp
+++ b/include/endivelever/decide/quota_lease.hpp
@@ -16,6 +16,9 @@
 /// A lease that was not seen to change for this long is taken over. Its revision spreads with the statuses,
 /// which takes up to a second if one of them is lost; taking it over too early fails and does no harm.
 constexpr duration quota_takeover_silence = std::chrono::milliseconds(1250);
+/// A new holder waits this much longer than a former lease can be valid, since the clocks of two VMs differ
+/// in rate. They may differ by 1.5 %, far more than hardware clocks do.
+constexpr duration quota_lease_margin = std::chrono::milliseconds(20);
 /// Each candidate after the first one waits this much longer.
 constexpr duration quota_takeover_stagger = std::chrono::milliseconds(400);
 
@@ -42,7 +45,11 @@
     time_point grants_from{};   ///< the holder may grant from then on: any former lease has ended
     time_point valid_until{};   ///< until when the holder may grant
     bool is_writing = false;    ///< a write of this VM is in progress
-    time_point write_started{};
+    time_point write_started{}; ///< of the last write
+    bool is_stopping = false;   ///< this VM grants nothing more and takes no lease
+    time_point release_started{};
+    /// An unknown lease may be valid: the store may have lost it. False at the first start of the system.
+    bool may_have_former = true;
 };
 
 /// What a VM does about a lease now.
@@ -50,10 +57,11 @@
     none,
     create, ///< the object
     renew,  ///< replace the object, as its holder
-    take    ///< replace the object of another holder
+    take,   ///< replace the object of another holder
+    release ///< replace the object, so that another VM takes the lease at once
 };
 
-/// @return the record with which this VM takes or renews the lease
+/// @return the record with which this VM takes, renews or releases the lease
 quota_lease_record next_record(const quota_lease& lease, vm_hash own, incarnation own_life);
 
 /// @param position  place of this VM among the candidates for the shard; 0 is the first
@@ -65,8 +73,10 @@
 /// Records that a write of this VM begins.
 void note_write_started(quota_lease& lease, time_point now);
 
-/// Records that the write took effect.
-void note_written(quota_lease& lease, std::uint64_t revision, const quota_lease_record& record);
+/// Records that a write took effect.
+/// @param started  when it was sent
+void note_written(quota_lease& lease, std::uint64_t revision, const quota_lease_record& record,
+                  time_point started);
 
 /// Records that the write failed, or that its result is not known.
 void note_write_failed(quota_lease& lease);
@@ -77,7 +87,7 @@
 void note_seen(quota_lease& lease, std::uint64_t revision, const quota_lease_record& record, vm_hash own,
                incarnation own_life, time_point now);
 
-/// Gives the lease up: this VM grants nothing from now on.
+/// Gives the lease up: this VM grants nothing from now on, and next_action() asks to release the lease.
 void stop_granting(quota_lease& lease);
 
 /// Shard of a tenant.
--- a/src/gateway/quota.cpp
+++ b/src/gateway/quota.cpp
@@ -83,14 +83,14 @@
 }
 
 void handle_lease_reply(gateway_board& board, std::size_t shard, quota_lease_action action,
-                        const quota_lease_record& record, const http_reply& reply) {
+                        const quota_lease_record& record, time_point started, const http_reply& reply) {
     auto& lease = board.quota.leases.at(shard);
     const bool answered = reply.result.failure == transfer_failure::none;
     const auto object = answered ? board.dialect.store.parse_object(reply.body)
                                  : result<stored_object>(fail("gateway", 3, reply.result.detail));
     if (answered && reply.result.status < first_error_status && object) {
         const bool was_holder = lease.is_holder;
-        note_written(lease, object->mod_revision.value, record);
+        note_written(lease, object->mod_revision.value, record, started);
         if (!was_holder && lease.is_holder) {
             board.quota.starts_full.at(shard) =
                 action == quota_lease_action::create && board.conf.first_start;
@@ -98,6 +98,9 @@
                           [shard](const auto& it) { return shard_of(it.first) == shard; });
             count(board, "quota_leases_taken_total");
             log_lease(board, "quota_lease_taken", shard);
+        } else if (was_holder && !lease.is_holder) {
+            log_lease(board, "quota_lease_released", shard);
+            send_status(board, true);
         }
         return;
     }
@@ -121,11 +124,12 @@
                        : board.dialect.store.replace_if(kind, lease_name(shard),
                                                         object_revision{lease.revision}, to_json(record));
     request.timeout = lease_call_timeout;
-    note_write_started(lease, boot_clock::now());
+    const auto started = boot_clock::now();
+    note_write_started(lease, started);
     ++board.store_access.counts.calls;
     fetch(*board.store_http_client, std::move(request), max_lease_reply,
-          [&board, shard, action, record](const http_reply& reply) {
-              handle_lease_reply(board, shard, action, record, reply);
+          [&board, shard, action, record, started](const http_reply& reply) {
+              handle_lease_reply(board, shard, action, record, started, reply);
           });
 }
 
@@ -365,18 +369,21 @@
 }
 
 void maintain_quota_leases(gateway_board& board, time_point now) {
-    if (!has_quotas(board) || !board.duties.is_head || !board.peers.loaded || board.stop) {
+    if (!has_quotas(board) || !board.peers.loaded) {
         return;
     }
-    const auto candidates = find_watchers(board.peers, now);
+    const auto candidates = board.duties.is_head ? find_watchers(board.peers, now) : std::vector<vm_id>{};
     for (std::size_t shard = 0; shard < quota_shards; ++shard) {
         auto& lease = board.quota.leases.at(shard);
         const auto position = candidate_position(candidates, board.conf.vm, shard);
-        if (!position && !lease.is_holder) {
+        const bool is_releasing = lease.is_holder && lease.is_stopping;
+        // A holder that is no candidate any more renews its lease as long as it is a head.
+        if (!position && !is_releasing && !(lease.is_holder && board.duties.is_head)) {
             continue;
         }
         if (lease.write_started == time_point{}) {
             lease.write_started = board.peers.started;
+            lease.may_have_former = !board.conf.first_start;
         }
         const auto action = next_action(lease, position.value_or(0), now);
         if (action != quota_lease_action::none) {
@@ -387,16 +394,10 @@
 }
 
 void release_quota_leases(gateway_board& board) {
-    for (std::size_t shard = 0; shard < quota_shards; ++shard) {
-        auto& lease = board.quota.leases.at(shard);
-        if (lease.is_holder) {
-            stop_granting(lease);
-            auto record = next_record(lease, hash_of(board.conf.vm), board.own_incarnation);
-            record.released = true;
-            write_lease(board, shard, quota_lease_action::renew, record);
-            log_lease(board, "quota_lease_released", shard);
-        }
+    for (auto& it : board.quota.leases) {
+        stop_granting(it);
     }
+    maintain_quota_leases(board, boot_clock::now());
 }
 
 std::vector<quota_lease_status> known_quota_leases(const gateway_board& board) {
