Do not credit unused quota tokens

Cause: VMs gave tokens back that had expired unused, however long ago, and the allocator added them to its bucket. A token that was granted before the bucket was full again is then granted a second time on top of the capacity and the rate of a window. A request to the allocator that arrived twice was credited twice.

Change: tokens that are not used are lost. Requests to an allocator no longer state returned tokens.

--- a/include/endivelever/decide/quota_bucket.hpp
+++ b/include/endivelever/decide/quota_bucket.hpp
@@ -28,10 +28,8 @@
 /// Applies a changed limit. A smaller capacity takes effect at once.
 void set_limit(quota_bucket& bucket, const quota_limit& limit, const quota_bounds& bounds, time_point now);
 
-/// Grants up to `wanted` tokens.
+/// Grants up to `wanted` tokens. Tokens that are not used are lost: to credit one that was granted before the
+/// bucket was full again would let the tenant pass its limit.
 quota_decision grant_tokens(quota_bucket& bucket, std::uint32_t wanted, time_point now);
 
-/// Takes back tokens that were granted and not used.
-void return_tokens(quota_bucket& bucket, std::uint32_t unused, time_point now);
-
 } // namespace endivelever
--- a/include/endivelever/decide/quota_reserve.hpp
+++ b/include/endivelever/decide/quota_reserve.hpp
@@ -12,7 +12,6 @@
 /// Tokens of one tenant at one VM.
 struct quota_reserve {
     std::deque<time_point> tokens;     ///< expiry of each token, earliest first
-    std::uint32_t unused = 0;          ///< expired tokens that the allocator may get back
     time_point refused_until{};        ///< until then the allocator is not asked again
     duration retry_after{};            ///< that the allocator named when it refused
     std::deque<time_point> floor_uses; ///< requests let through without a grant, oldest first
@@ -22,7 +21,7 @@
 /// @return its expiry, or a default time_point if there is none
 time_point take_token(quota_reserve& reserve, time_point now);
 
-/// Adds tokens. One that has expired counts as unused.
+/// Adds tokens, unless they have expired.
 void add_tokens(quota_reserve& reserve, std::uint32_t tokens, time_point expiry, time_point now);
 
 /// Lets a request through without a grant if the floor of this VM allows it.
--- a/include/endivelever/wire/messages.hpp
+++ b/include/endivelever/wire/messages.hpp
@@ -104,7 +104,6 @@
 struct quota_demand {
     std::uint64_t tenant = 0; ///< hash of the tenant's id
     std::uint32_t wanted = 0;
-    std::uint32_t returned = 0;
 };
 
 /// Sent by a VM to the allocator of a shard.
--- a/src/decide/quota_bucket.cpp
+++ b/src/decide/quota_bucket.cpp
@@ -49,9 +49,4 @@
     return decision;
 }
 
-void return_tokens(quota_bucket& bucket, std::uint32_t unused, time_point now) {
-    credit(bucket, now);
-    bucket.tokens = std::min(bucket.capacity, bucket.tokens + unused);
-}
-
 } // namespace endivelever
--- a/src/decide/quota_reserve.cpp
+++ b/src/decide/quota_reserve.cpp
@@ -8,7 +8,6 @@
 void expire_tokens(quota_reserve& reserve, time_point now) {
     while (!reserve.tokens.empty() && reserve.tokens.front() <= now) {
         reserve.tokens.pop_front();
-        ++reserve.unused;
     }
 }
 
@@ -26,7 +25,6 @@
 
 void add_tokens(quota_reserve& reserve, std::uint32_t tokens, time_point expiry, time_point now) {
     if (expiry <= now) {
-        reserve.unused += tokens;
         return;
     }
     const auto at = std::upper_bound(reserve.tokens.begin(), reserve.tokens.end(), expiry);
--- a/src/gateway/quota.cpp
+++ b/src/gateway/quota.cpp
@@ -162,7 +162,6 @@
     if (bucket.limit != limit_of(tenant)) {
         set_limit(bucket, limit_of(tenant), bounds_of(board), now);
     }
-    return_tokens(bucket, demand.returned, now);
     const auto decision = grant_tokens(bucket, demand.wanted, now);
     return {demand.tenant, decision.tokens,
             static_cast<std::uint32_t>(
@@ -245,7 +244,7 @@
     request.life = board.own_incarnation;
     request.number = ++quota.last_number;
     request.reply_to = board.conf.peer_address.text;
-    request.demands.push_back({tenant, wanted, std::exchange(quota.reserves[tenant].unused, 0)});
+    request.demands.push_back({tenant, wanted});
     count(board, "quota_asks_total");
     quota.asked.emplace(request.number, now);
     if (quota.asked.size() > max_open_asks) {
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -125,7 +125,7 @@
     std::vector<fb::QuotaDemand> wanted;
     wanted.reserve(value.demands.size());
     for (const auto& it : value.demands) {
-        wanted.emplace_back(it.tenant, it.wanted, it.returned);
+        wanted.emplace_back(it.tenant, it.wanted);
     }
     const auto demands = out.CreateVectorOfStructs(wanted);
     return fb::CreateQuotaRequest(out, vm, value.life.value, value.number, reply_to, demands).Union();
@@ -303,9 +303,7 @@
 }
 
 message unpack(field_reader& in, const fb::QuotaRequest* value) {
-    const auto demand = [](const fb::QuotaDemand* it) {
-        return quota_demand{it->tenant(), it->wanted(), it->returned()};
-    };
+    const auto demand = [](const fb::QuotaDemand* it) { return quota_demand{it->tenant(), it->wanted()}; };
     return quota_request_message{vm_id(in.name(value->vm())), incarnation{value->life()}, value->number(),
                                  in.name(value->reply_to()),
                                  in.list(value->demands(), wire_limits::quota_tenants, "demands", demand)};
