Count floors over restarts, changes of the fleet and late sendings

Cause: a VM that restarted forgot what it had let through without a grant and used its floor again. When VMs left, the floors of the others grew at once, although those that left may have used theirs in the same window. A request could be sent long after its floor was counted.

Change: no floor within a window of the start of a VM; VMs that left are counted for a window; a request that a floor lets through has an expiry like a token, and is counted for a window after it.

--- a/include/endivelever/gateway/quota_state.hpp
+++ b/include/endivelever/gateway/quota_state.hpp
@@ -27,7 +27,9 @@
     std::array<bool, quota_shards> starts_full{}; ///< no allocator had the shard before this one
     std::unordered_map<std::uint64_t, quota_reserve> reserves; ///< by hash of the tenant
     std::unordered_map<std::uint64_t, std::deque<quota_waiter>>
-        waiting;                               ///< by hash of the tenant, oldest first
+        waiting; ///< by hash of the tenant, oldest first
+    quota_fleet fleet;
+    time_point fleet_updated_at{};
     std::map<std::uint64_t, time_point> asked; ///< when the requests to allocators were sent, by number
     std::uint64_t last_number = 0;
 };
--- a/src/decide/quota_reserve.cpp
+++ b/src/decide/quota_reserve.cpp
@@ -1,6 +1,7 @@
 #include "endivelever/decide/quota_reserve.hpp"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace endivelever {
 namespace {
@@ -31,15 +32,41 @@
     reserve.tokens.insert(at, tokens, expiry);
 }
 
-bool take_floor(quota_reserve& reserve, std::size_t floor, const quota_bounds& bounds, time_point now) {
-    while (!reserve.floor_uses.empty() && now - reserve.floor_uses.front() > bounds.window) {
+time_point take_floor(quota_reserve& reserve, std::size_t floor, const quota_bounds& bounds, time_point now) {
+    // A request may be sent some time after it was let through.
+    const auto counted_for = bounds.window + token_lifetime(bounds);
+    while (!reserve.floor_uses.empty() && now - reserve.floor_uses.front() > counted_for) {
         reserve.floor_uses.pop_front();
     }
     if (reserve.floor_uses.size() >= floor) {
-        return false;
+        return {};
     }
     reserve.floor_uses.push_back(now);
-    return true;
+    return now + token_lifetime(bounds);
+}
+
+void update_fleet(quota_fleet& fleet, const std::vector<vm_hash>& members, const quota_bounds& bounds,
+                  time_point now) {
+    for (const auto vm : members) {
+        fleet.listed_at[vm] = now;
+    }
+    const auto counted_for = bounds.window + token_lifetime(bounds);
+    std::erase_if(fleet.listed_at, [&](const auto& it) { return now - it.second > counted_for; });
+}
+
+std::size_t position_in(const quota_fleet& fleet, vm_hash vm, std::uint64_t tenant) {
+    const auto order = [tenant](vm_hash of) { return XXH3_64bits_withSeed(&of, sizeof(of), tenant); };
+    const auto own = order(vm);
+    return static_cast<std::size_t>(std::count_if(fleet.listed_at.begin(), fleet.listed_at.end(),
+                                                  [&](const auto& it) { return order(it.first) > own; }));
+}
+
+std::size_t own_floor(const quota_fleet& fleet, vm_hash own, std::uint64_t tenant, const quota_limit& limit,
+                      const quota_bounds& bounds, time_point now) {
+    if (fleet.listed_at.empty() || now - fleet.started < bounds.window + token_lifetime(bounds)) {
+        return 0;
+    }
+    return floor_of_vm(limit, bounds, position_in(fleet, own, tenant), fleet.listed_at.size());
 }
 
 } // namespace endivelever
--- a/src/gateway/quota.cpp
+++ b/src/gateway/quota.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <vector>
-#include <xxhash.h>
 
 namespace endivelever {
 namespace {
@@ -26,6 +25,8 @@
 // not load its allocator.
 constexpr duration min_refusal = 5ms;
 constexpr duration max_refusal = 50ms;
+// The list of VMs changes more slowly.
+constexpr duration fleet_update_interval = 250ms;
 // Until another allocator has taken over.
 constexpr duration no_allocator_retry_after = 300ms;
 
@@ -259,6 +260,21 @@
     }
 }
 
+/// Keeps the VMs among which the floors are divided.
+void update_quota_fleet(gateway_board& board, time_point now) {
+    auto& quota = board.quota;
+    if (!board.peers.loaded || now - quota.fleet_updated_at < fleet_update_interval) {
+        return;
+    }
+    quota.fleet_updated_at = now;
+    quota.fleet.started = board.peers.started;
+    std::vector<vm_hash> members{hash_of(board.conf.vm)};
+    for (const auto& it : board.peers.peers) {
+        members.push_back(hash_of(it.first));
+    }
+    update_fleet(quota.fleet, members, bounds_of(board), now);
+}
+
 /// Lets a request for which no allocator has answered pass by the floor of this VM, or refuses it.
 void end_unanswered(gateway_board& board, const quota_waiter& waiter, time_point now) {
     const auto found = board.requests.find(waiter.request);
@@ -267,19 +283,13 @@
     }
     const auto& tenant = *found->second->tenant;
     const auto key = hash_of(tenant.id);
-    const auto seed = key;
-    const auto order = [seed](const vm_id& vm) {
-        return XXH3_64bits_withSeed(vm.text.data(), vm.text.size(), seed);
-    };
-    const auto own = order(board.conf.vm);
-    const auto ahead = std::count_if(board.peers.peers.begin(), board.peers.peers.end(),
-                                     [&](const auto& it) { return order(it.first) > own; });
     const auto bounds = bounds_of(board);
+    auto& reserve = board.quota.reserves[key];
     const auto floor =
-        floor_of_vm(limit_of(tenant), bounds, static_cast<std::size_t>(ahead), board.peers.peers.size() + 1);
-    if (board.peers.loaded && take_floor(board.quota.reserves[key], floor, bounds, now)) {
+        own_floor(board.quota.fleet, hash_of(board.conf.vm), key, limit_of(tenant), bounds, now);
+    if (const auto expiry = take_floor(reserve, floor, bounds, now); expiry != time_point{}) {
         count(board, "quota_floor_uses_total");
-        resume(board, waiter, {});
+        resume(board, waiter, expiry);
     } else {
         count(board, "quota_refusals_total{reason=\"no_allocator\"}");
         refuse(board, waiter,
@@ -341,6 +351,9 @@
 }
 
 void review_quota_waiters(gateway_board& board, time_point now) {
+    if (has_quotas(board)) {
+        update_quota_fleet(board, now);
+    }
     std::vector<quota_waiter> unanswered;
     std::vector<std::uint64_t> ask_again;
     for (auto& [tenant, waiters] : board.quota.waiting) {
