Check quota tokens at the moment of sending

Cause: a request took a token and then waited for a server until its deadline, so that requests of many VMs could be sent in a later window than the one in which their tokens were counted. A grant taken for a request that had ended was lost. The numbers of requests to allocators began at 1 in each process, so that a grant to a former process could pass for a new one.

Change: start_attempt() asks admit_attempt(): an expired token, or an attempt after one that may have run, needs a new token, which the next review asks for. Hedges get tokens only while the bucket stays half full, so that they do not use up the quota of a tenant within its limit. Tokens go to open requests only, and come back when no server has run the request. Numbers begin at a hash of the incarnation. apply_grant() holds no reference into the table of waiters while it answers requests.

--- a/include/endivelever/decide/quota_bucket.hpp
+++ b/include/endivelever/decide/quota_bucket.hpp
@@ -32,4 +32,8 @@
 /// bucket was full again would let the tenant pass its limit.
 quota_decision grant_tokens(quota_bucket& bucket, std::uint32_t wanted, time_point now);
 
+/// Grants up to `wanted` tokens for second attempts of requests that are in progress, as long as the bucket
+/// stays half full: they must not make a tenant that stays within its limit run out of tokens.
+quota_decision grant_spare(quota_bucket& bucket, std::uint32_t wanted, time_point now);
+
 } // namespace endivelever
--- a/include/endivelever/decide/quota_reserve.hpp
+++ b/include/endivelever/decide/quota_reserve.hpp
@@ -20,6 +20,8 @@
     std::deque<time_point> floor_uses; ///< requests let through without a grant, oldest first
 };
 
+bool has_token(quota_reserve& reserve, time_point now);
+
 /// Takes a token.
 /// @return its expiry, or a default time_point if there is none
 time_point take_token(quota_reserve& reserve, time_point now);
--- a/include/endivelever/gateway/quota_state.hpp
+++ b/include/endivelever/gateway/quota_state.hpp
@@ -3,6 +3,7 @@
 #include "endivelever/decide/quota_bucket.hpp"
 #include "endivelever/decide/quota_lease.hpp"
 #include "endivelever/decide/quota_reserve.hpp"
+#include "endivelever/decide/wait_queue.hpp"
 
 #include <array>
 #include <cstdint>
@@ -16,7 +17,8 @@
 struct quota_waiter {
     std::uint64_t request = 0; ///< number of the request
     time_point asked_at{};
-    std::uint32_t asks = 1;
+    std::uint32_t asks = 0;
+    attempt_purpose purpose = attempt_purpose::first;
 };
 
 /// Quotas of the tenants as this VM knows them, as allocator and as one of the VMs that ask.
--- a/include/endivelever/wire/messages.hpp
+++ b/include/endivelever/wire/messages.hpp
@@ -104,6 +104,7 @@
 struct quota_demand {
     std::uint64_t tenant = 0; ///< hash of the tenant's id
     std::uint32_t wanted = 0;
+    bool is_extra = false; ///< for second attempts of requests in progress
 };
 
 /// Sent by a VM to the allocator of a shard.
--- a/src/decide/quota_bucket.cpp
+++ b/src/decide/quota_bucket.cpp
@@ -8,6 +8,8 @@
 
 // Requests refused longer ago than this do not delay later ones.
 constexpr double unserved_memory_s = 1.0;
+// Second attempts leave this share of a full bucket.
+constexpr double spare_share = 0.5;
 // A smaller bucket would never grant a token.
 constexpr double min_capacity = 1.0;
 
@@ -49,4 +51,12 @@
     return decision;
 }
 
+quota_decision grant_spare(quota_bucket& bucket, std::uint32_t wanted, time_point now) {
+    credit(bucket, now);
+    const double spare = std::max(0.0, bucket.tokens - spare_share * bucket.capacity);
+    const auto granted = std::min(wanted, static_cast<std::uint32_t>(spare));
+    bucket.tokens -= granted;
+    return {granted, {}};
+}
+
 } // namespace endivelever
--- a/src/decide/quota_reserve.cpp
+++ b/src/decide/quota_reserve.cpp
@@ -14,6 +14,11 @@
 
 } // namespace
 
+bool has_token(quota_reserve& reserve, time_point now) {
+    expire_tokens(reserve, now);
+    return !reserve.tokens.empty();
+}
+
 time_point take_token(quota_reserve& reserve, time_point now) {
     expire_tokens(reserve, now);
     if (reserve.tokens.empty()) {
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -315,6 +315,9 @@
 } // namespace
 
 void start_attempt(gateway_board& board, gateway_request& it, server_view& view) {
+    if (!admit_attempt(board, it)) {
+        return;
+    }
     const auto now = boot_clock::now();
     auto& attempt = *it.attempts.emplace_back(std::make_unique<request_attempt>());
     attempt.server = view.listed.id;
--- a/src/gateway/quota.cpp
+++ b/src/gateway/quota.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <vector>
+#include <xxhash.h>
 
 namespace endivelever {
 namespace {
@@ -30,6 +31,10 @@
 // Until another allocator has taken over.
 constexpr duration no_allocator_retry_after = 300ms;
 
+bool has_quota(const gateway_board& board, const gateway_request& it) {
+    return has_quotas(board) && it.tenant != nullptr && it.tenant->rate > 0.0;
+}
+
 quota_bounds bounds_of(const gateway_board& board) {
     return {board.conf.quota_window, board.conf.quota_overage, board.conf.quota_tolerance};
 }
@@ -163,7 +168,8 @@
     if (bucket.limit != limit_of(tenant)) {
         set_limit(bucket, limit_of(tenant), bounds_of(board), now);
     }
-    const auto decision = grant_tokens(bucket, demand.wanted, now);
+    const auto decision =
+        demand.is_extra ? grant_spare(bucket, demand.wanted, now) : grant_tokens(bucket, demand.wanted, now);
     return {demand.tenant, decision.tokens,
             static_cast<std::uint32_t>(
                 std::chrono::ceil<std::chrono::milliseconds>(decision.retry_after).count())};
@@ -187,19 +193,30 @@
     return answer;
 }
 
+/// @return the request of a waiter if it is still open
+gateway_request* open_request(gateway_board& board, const quota_waiter& waiter) {
+    const auto found = board.requests.find(waiter.request);
+    return found != board.requests.end() && found->second->exchange != nullptr ? found->second.get()
+                                                                               : nullptr;
+}
+
 /// Sends a request that holds a token on its way to a server.
 void resume(gateway_board& board, const quota_waiter& waiter, time_point token_expiry) {
-    const auto found = board.requests.find(waiter.request);
-    if (found != board.requests.end()) {
-        found->second->token_expiry = token_expiry;
-        enqueue_request(board, *found->second, attempt_purpose::first);
+    if (auto* it = open_request(board, waiter)) {
+        it->token_expiry = token_expiry;
+        enqueue_request(board, *it, waiter.purpose);
     }
 }
 
 void refuse(gateway_board& board, const quota_waiter& waiter, const error_response& response) {
-    const auto found = board.requests.find(waiter.request);
-    if (found != board.requests.end()) {
-        respond_with_error(board, *found->second, response);
+    auto* it = open_request(board, waiter);
+    if (it == nullptr) {
+        return;
+    }
+    if (waiter.purpose == attempt_purpose::first) {
+        respond_with_error(board, *it, response);
+    } else {
+        fail_unassigned(board, *it, waiter.purpose, response.reason, response.retry_after);
     }
 }
 
@@ -208,44 +225,62 @@
     return {status_too_many_requests, "quota of the tenant is used up", reserve.retry_after};
 }
 
+/// Removes the first open waiter of a tenant.
+std::optional<quota_waiter> take_waiter(gateway_board& board, std::uint64_t tenant) {
+    const auto found = board.quota.waiting.find(tenant);
+    if (found == board.quota.waiting.end()) {
+        return std::nullopt;
+    }
+    auto& waiters = found->second;
+    while (!waiters.empty() && open_request(board, waiters.front()) == nullptr) {
+        waiters.pop_front();
+    }
+    if (waiters.empty()) {
+        board.quota.waiting.erase(found);
+        return std::nullopt;
+    }
+    const auto first = waiters.front();
+    waiters.pop_front();
+    return first;
+}
+
 void apply_grant(gateway_board& board, const quota_tokens& granted, time_point asked_at, time_point now) {
     auto& reserve = board.quota.reserves[granted.tenant];
     add_tokens(reserve, granted.tokens, asked_at + token_lifetime(bounds_of(board)), now);
-    const auto waiting = board.quota.waiting.find(granted.tenant);
-    if (waiting == board.quota.waiting.end()) {
-        return;
-    }
-    auto& waiters = waiting->second;
-    while (!waiters.empty()) {
-        const auto expiry = take_token(reserve, now);
-        if (expiry == time_point{}) {
+    // Sending or refusing a request may lead to others of the same tenant, so nothing in the table is held.
+    while (has_token(reserve, now)) {
+        const auto waiter = take_waiter(board, granted.tenant);
+        if (!waiter) {
             break;
         }
-        const auto waiter = waiters.front();
-        waiters.pop_front();
-        resume(board, waiter, expiry);
+        resume(board, *waiter, take_token(reserve, now));
     }
-    if (granted.retry_after_ms > 0) {
-        reserve.retry_after = std::chrono::milliseconds(granted.retry_after_ms);
-        reserve.refused_until = now + std::clamp(reserve.retry_after, min_refusal, max_refusal);
-        for (const auto& it : std::exchange(waiters, {})) {
+    if (granted.retry_after_ms == 0) {
+        return;
+    }
+    reserve.retry_after = std::chrono::milliseconds(granted.retry_after_ms);
+    reserve.refused_until = now + std::clamp(reserve.retry_after, min_refusal, max_refusal);
+    if (const auto refused = board.quota.waiting.extract(granted.tenant)) {
+        for (const auto& it : refused.mapped()) {
             refuse(board, it, over_quota(board, reserve));
         }
     }
-    if (waiters.empty()) {
-        board.quota.waiting.erase(granted.tenant);
-    }
 }
 
-void ask_allocator(gateway_board& board, std::uint64_t tenant, std::uint32_t wanted, time_point now) {
+/// Asks for one token.
+void ask_allocator(gateway_board& board, std::uint64_t tenant, attempt_purpose purpose, time_point now) {
     auto& quota = board.quota;
     const auto shard = shard_of(tenant);
     quota_request_message request;
     request.vm = board.conf.vm;
     request.life = board.own_incarnation;
+    if (quota.last_number == 0) {
+        // A grant to a former process of this VM must not pass for one to this process.
+        quota.last_number = XXH3_64bits(&board.own_incarnation.value, sizeof(board.own_incarnation.value));
+    }
     request.number = ++quota.last_number;
     request.reply_to = board.conf.peer_address.text;
-    request.demands.push_back({tenant, wanted});
+    request.demands.push_back({tenant, 1, purpose == attempt_purpose::hedge});
     count(board, "quota_asks_total");
     quota.asked.emplace(request.number, now);
     if (quota.asked.size() > max_open_asks) {
@@ -277,11 +312,14 @@
 
 /// Lets a request for which no allocator has answered pass by the floor of this VM, or refuses it.
 void end_unanswered(gateway_board& board, const quota_waiter& waiter, time_point now) {
-    const auto found = board.requests.find(waiter.request);
-    if (found == board.requests.end()) {
+    const auto* request = open_request(board, waiter);
+    if (request == nullptr) {
         return;
     }
-    const auto& tenant = *found->second->tenant;
+    if (waiter.purpose == attempt_purpose::hedge) {
+        return; // the first attempt goes on
+    }
+    const auto& tenant = *request->tenant;
     const auto key = hash_of(tenant.id);
     const auto bounds = bounds_of(board);
     auto& reserve = board.quota.reserves[key];
@@ -305,7 +343,7 @@
 }
 
 void dispatch_within_quota(gateway_board& board, gateway_request& it) {
-    if (!has_quotas(board) || it.tenant == nullptr || it.tenant->rate <= 0.0) {
+    if (!has_quota(board, it)) {
         enqueue_request(board, it, attempt_purpose::first);
         return;
     }
@@ -321,8 +359,32 @@
         respond_with_error(board, it, over_quota(board, reserve));
         return;
     }
-    board.quota.waiting[tenant].push_back({it.number, now, 1});
-    ask_allocator(board, tenant, 1, now);
+    board.quota.waiting[tenant].push_back({it.number, now, 1, attempt_purpose::first});
+    ask_allocator(board, tenant, attempt_purpose::first, now);
+}
+
+bool admit_attempt(gateway_board& board, gateway_request& it) {
+    if (!has_quota(board, it)) {
+        return true;
+    }
+    const auto now = boot_clock::now();
+    const bool may_run_twice = may_have_run(proofs_of(it));
+    if (now < it.token_expiry && !may_run_twice) {
+        return true;
+    }
+    const auto tenant = hash_of(it.tenant->id);
+    it.token_expiry = take_token(board.quota.reserves[tenant], now);
+    if (it.token_expiry != time_point{}) {
+        return true;
+    }
+    count(board, "quota_late_asks_total");
+    auto purpose = attempt_purpose::first;
+    if (!it.attempts.empty()) {
+        purpose = it.attempts.back()->in_progress ? attempt_purpose::hedge : attempt_purpose::retry;
+    }
+    // The callers of this function are in the middle of the wait queue: the next review asks.
+    board.quota.waiting[tenant].push_back({it.number, time_point{}, 0, purpose});
+    return false;
 }
 
 void refund_token(gateway_board& board, gateway_request& it) {
@@ -355,7 +417,7 @@
         update_quota_fleet(board, now);
     }
     std::vector<quota_waiter> unanswered;
-    std::vector<std::uint64_t> ask_again;
+    std::vector<std::pair<std::uint64_t, attempt_purpose>> ask_again;
     for (auto& [tenant, waiters] : board.quota.waiting) {
         for (auto& it : waiters) {
             if (now - it.asked_at < answer_limit) {
@@ -366,14 +428,14 @@
             } else {
                 ++it.asks;
                 it.asked_at = now;
-                ask_again.push_back(tenant);
+                ask_again.emplace_back(tenant, it.purpose);
             }
         }
         std::erase_if(waiters, [now](const quota_waiter& it) { return now - it.asked_at >= answer_limit; });
     }
     std::erase_if(board.quota.waiting, [](const auto& it) { return it.second.empty(); });
-    for (const auto tenant : ask_again) {
-        ask_allocator(board, tenant, 1, now);
+    for (const auto& [tenant, purpose] : ask_again) {
+        ask_allocator(board, tenant, purpose, now);
     }
     for (const auto& it : unanswered) {
         end_unanswered(board, it, now);
--- a/src/gateway/respond.cpp
+++ b/src/gateway/respond.cpp
@@ -113,7 +113,7 @@
           it.table == nullptr ? std::int64_t{0} : static_cast<std::int64_t>(it.table->config.version.value)},
          {"retry_after_ms", to_milliseconds(response.retry_after)},
          {"age_ms", to_milliseconds(boot_clock::now() - it.arrived)}});
-    if (it.attempts.empty()) {
+    if (!may_have_run(proofs)) {
         refund_token(board, it);
     }
     auto& exchange = *it.exchange;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -125,7 +125,7 @@
     std::vector<fb::QuotaDemand> wanted;
     wanted.reserve(value.demands.size());
     for (const auto& it : value.demands) {
-        wanted.emplace_back(it.tenant, it.wanted);
+        wanted.emplace_back(it.tenant, it.wanted, it.is_extra);
     }
     const auto demands = out.CreateVectorOfStructs(wanted);
     return fb::CreateQuotaRequest(out, vm, value.life.value, value.number, reply_to, demands).Union();
@@ -303,7 +303,9 @@
 }
 
 message unpack(field_reader& in, const fb::QuotaRequest* value) {
-    const auto demand = [](const fb::QuotaDemand* it) { return quota_demand{it->tenant(), it->wanted()}; };
+    const auto demand = [](const fb::QuotaDemand* it) {
+        return quota_demand{it->tenant(), it->wanted(), it->is_extra()};
+    };
     return quota_request_message{vm_id(in.name(value->vm())), incarnation{value->life()}, value->number(),
                                  in.name(value->reply_to()),
                                  in.list(value->demands(), wire_limits::quota_tenants, "demands", demand)};
--- a/tests/unit/quota_bucket_test.cpp
+++ b/tests/unit/quota_bucket_test.cpp
@@ -116,6 +116,17 @@
 
 INSTANTIATE_TEST_SUITE_P(limits, bucket_of, limits, name_of_case);
 
+// Guards against second attempts that use up the tokens of a tenant within its limit.
+TEST(quota_bucket, keeps_half_of_its_tokens_from_second_attempts) {
+    auto bucket = make_quota_bucket({10, 25}, bounds, true, start);
+    const double capacity = bucket.capacity;
+    const auto spare = grant_spare(bucket, 1000, start).tokens;
+    EXPECT_EQ(static_cast<std::uint32_t>(capacity / 2), spare);
+    EXPECT_EQ(0U, grant_spare(bucket, 1, start).tokens);
+    EXPECT_EQ(0ms, grant_spare(bucket, 1, start).retry_after);
+    EXPECT_GE(drain(bucket, start), static_cast<std::uint32_t>(capacity / 2));
+}
+
 // Guards against a wait that grows with the number of refusals, which would keep callers away from a tenant
 // whose flood has ended.
 TEST(quota_bucket, names_a_bounded_time_after_a_flood) {
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -292,12 +292,13 @@
 
 TEST(quota_messages, keep_their_fields) {
     const auto request = decode(
-        bytes_of(encode(quota_request_message{vm_id("vm-1"), incarnation{2}, 3, "10.0.0.1:9", {{4, 5}}})));
+        bytes_of(encode(quota_request_message{vm_id("vm-1"), incarnation{2}, 3, "10.0.0.1:9", {{4, 5, true}}})));
     ASSERT_TRUE(request);
     const auto& asked = std::get<quota_request_message>(*request);
     EXPECT_EQ("10.0.0.1:9", asked.reply_to);
     ASSERT_EQ(1U, asked.demands.size());
     EXPECT_EQ(5U, asked.demands.front().wanted);
+    EXPECT_TRUE(asked.demands.front().is_extra);
     const auto response = decode(bytes_of(encode(quota_grant_message{3, true, 300, {{4, 2, 70}}})));
     ASSERT_TRUE(response);
     const auto& granted = std::get<quota_grant_message>(*response);
