--- a/src/decide/quota_lease.cpp
+++ b/src/decide/quota_lease.cpp
@@ -4,14 +4,42 @@
 
 namespace endivelever {
 
-quota_lease_record next_record(const quota_lease& lease, vm_hash own, incarnation own_life) {
-    return {own, own_life, lease.record.term + 1, false};
+namespace {
+
+/// When the leases of others have ended, if this VM takes the lease with a write that it sends at `started`.
+time_point former_lease_end(const quota_lease& lease, vm_hash own, time_point started) {
+    if (lease.revision == 0) {
+        // A lost object was valid until this write at the latest.
+        return lease.may_have_former ? started + quota_lease_time + quota_lease_margin : started;
+    }
+    if (lease.record.released) {
+        return started;
+    }
+    // The known revision was written before it was learned here. If this VM has written it, in a former life
+    // or without hearing the result, only the lease before that one may be valid.
+    const auto left = lease.record.holder == own ? std::chrono::milliseconds(lease.record.gate_ms)
+                                                 : duration(quota_lease_time);
+    return left == duration::zero() ? started : lease.learned_at + left + quota_lease_margin;
+}
+
+} // namespace
+
+quota_lease_record next_record(const quota_lease& lease, vm_hash own, incarnation own_life, time_point now) {
+    const auto gate = lease.is_holder ? lease.grants_from : former_lease_end(lease, own, now);
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(std::max(duration::zero(), gate - now));
+    return {own, own_life, lease.record.term + 1, lease.is_stopping,
+            static_cast<std::uint32_t>(left.count())};
 }
 
 quota_lease_action next_action(const quota_lease& lease, vm_hash own, std::size_t position, time_point now) {
     if (lease.is_writing) {
         return quota_lease_action::none;
     }
+    if (lease.is_stopping) {
+        const bool is_due = lease.is_holder && (lease.release_started == time_point{} ||
+                                                now - lease.release_started >= quota_renewal_interval);
+        return is_due ? quota_lease_action::release : quota_lease_action::none;
+    }
     if (lease.is_holder) {
         const bool is_due = now - lease.write_started >= quota_renewal_interval;
         return is_due ? quota_lease_action::renew : quota_lease_action::none;
@@ -23,38 +51,38 @@
     if (lease.revision == 0) {
         return quota_lease_action::create;
     }
-    // A lease of a former life of this VM, or one that it has written without hearing the result, is in use
-    // by nobody: it was written when the lease before it had ended.
+    // Nobody uses a lease of a former life of this VM, or one that it has written without hearing the result.
     const bool is_unused = lease.record.released || lease.record.holder == own;
     const auto silence = is_unused ? duration::zero() : quota_takeover_silence;
     return now - lease.learned_at >= silence + patience ? quota_lease_action::take : quota_lease_action::none;
 }
 
 bool may_grant(const quota_lease& lease, time_point now) {
-    return lease.is_holder && now >= lease.grants_from && now < lease.valid_until;
+    return lease.is_holder && !lease.is_stopping && now >= lease.grants_from && now < lease.valid_until;
 }
 
 void note_write_started(quota_lease& lease, time_point now) {
     lease.is_writing = true;
     lease.write_started = now;
+    if (lease.is_stopping) {
+        lease.release_started = now;
+    }
 }
 
-void note_written(quota_lease& lease, std::uint64_t revision, const quota_lease_record& record) {
+void note_written(quota_lease& lease, std::uint64_t revision, const quota_lease_record& record,
+                  time_point started) {
     lease.is_writing = false;
     if (revision <= lease.revision) {
         return; // another VM has taken the lease since
     }
     if (!lease.is_holder) {
-        // The replaced revision was written before it was learned here.
-        const bool had_holder =
-            lease.revision != 0 && !lease.record.released && lease.record.holder != record.holder;
-        lease.grants_from = had_holder ? lease.learned_at + quota_lease_time : lease.write_started;
+        lease.grants_from = std::max(started, former_lease_end(lease, record.holder, started));
     }
-    lease.is_holder = true;
+    lease.is_holder = !record.released;
     lease.revision = revision;
     lease.record = record;
-    lease.learned_at = lease.write_started;
-    lease.valid_until = lease.write_started + quota_lease_time;
+    lease.learned_at = started;
+    lease.valid_until = started + quota_lease_time;
 }
 
 void note_write_failed(quota_lease& lease) {
@@ -76,8 +104,7 @@
 }
 
 void stop_granting(quota_lease& lease) {
-    lease.is_holder = false;
-    lease.valid_until = {};
+    lease.is_stopping = true;
 }
 
 std::size_t shard_of(std::uint64_t tenant) {
--- a/src/gateway/quota.cpp
+++ b/src/gateway/quota.cpp
@@ -26,9 +26,15 @@
 // not load its allocator.
 constexpr duration min_refusal = 5ms;
 constexpr duration max_refusal = 50ms;
+// The list of VMs changes more slowly.
+constexpr duration fleet_update_interval = 250ms;
 // Until another allocator has taken over.
 constexpr duration no_allocator_retry_after = 300ms;
 
+bool has_quota(const gateway_board& board, const gateway_request& it) {
+    return has_quotas(board) && it.tenant != nullptr && it.tenant->rate > 0.0;
+}
+
 quota_bounds bounds_of(const gateway_board& board) {
     return {board.conf.quota_window, board.conf.quota_overage, board.conf.quota_tolerance};
 }
@@ -45,6 +51,7 @@
     return {{"holder", std::to_string(record.holder)},
             {"life", std::to_string(record.life.value)},
             {"term", std::to_string(record.term)},
+            {"gate_ms", std::to_string(record.gate_ms)},
             {"released", record.released}};
 }
 
@@ -59,8 +66,13 @@
     if (!content.is_object()) {
         return {};
     }
-    return {number_field(content, "holder"), incarnation{number_field(content, "life")},
-            number_field(content, "term"), content.value("released", json(false)) == json(true)};
+    quota_lease_record record{number_field(content, "holder"), incarnation{number_field(content, "life")},
+                              number_field(content, "term"),
+                              content.value("released", json(false)) == json(true)};
+    if (content.contains("gate_ms")) {
+        record.gate_ms = static_cast<std::uint32_t>(number_field(content, "gate_ms"));
+    }
+    return record;
 }
 
 /// Position of this VM among the VMs that may hold the lease of a shard; no value if it is none of them.
@@ -83,14 +95,14 @@
 }
 
 void handle_lease_reply(gateway_board& board, std::size_t shard, quota_lease_action action,
-                        const quota_lease_record& record, const http_reply& reply) {
+                        const quota_lease_record& record, time_point started, const http_reply& reply) {
     auto& lease = board.quota.leases.at(shard);
     const bool answered = reply.result.failure == transfer_failure::none;
     const auto object = answered ? board.dialect.store.parse_object(reply.body)
                                  : result<stored_object>(fail("gateway", 3, reply.result.detail));
     if (answered && reply.result.status < first_error_status && object) {
         const bool was_holder = lease.is_holder;
-        note_written(lease, object->mod_revision.value, record);
+        note_written(lease, object->mod_revision.value, record, started);
         if (!was_holder && lease.is_holder) {
             board.quota.starts_full.at(shard) =
                 action == quota_lease_action::create && board.conf.first_start;
@@ -98,12 +110,20 @@
                           [shard](const auto& it) { return shard_of(it.first) == shard; });
             count(board, "quota_leases_taken_total");
             log_lease(board, "quota_lease_taken", shard);
+            send_status(board, true);
+        } else if (was_holder && !lease.is_holder) {
+            log_lease(board, "quota_lease_released", shard);
+            send_status(board, true);
         }
         return;
     }
     note_write_failed(lease);
     if (answered && reply.result.status == status_conflict && object) {
         const bool was_holder = lease.is_holder;
+        if (action == quota_lease_action::create) {
+            // The object is known now, so there is no failed attempt to wait for.
+            lease.write_started = started - quota_renewal_interval;
+        }
         note_seen(lease, object->mod_revision.value, read_record(object->content), hash_of(board.conf.vm),
                   board.own_incarnation, boot_clock::now());
         if (was_holder && !lease.is_holder) {
@@ -121,11 +141,12 @@
                        : board.dialect.store.replace_if(kind, lease_name(shard),
                                                         object_revision{lease.revision}, to_json(record));
     request.timeout = lease_call_timeout;
-    note_write_started(lease, boot_clock::now());
+    const auto started = boot_clock::now();
+    note_write_started(lease, started);
     ++board.store_access.counts.calls;
     fetch(*board.store_http_client, std::move(request), max_lease_reply,
-          [&board, shard, action, record](const http_reply& reply) {
-              handle_lease_reply(board, shard, action, record, reply);
+          [&board, shard, action, record, started](const http_reply& reply) {
+              handle_lease_reply(board, shard, action, record, started, reply);
           });
 }
 
@@ -158,8 +179,8 @@
     if (bucket.limit != limit_of(tenant)) {
         set_limit(bucket, limit_of(tenant), bounds_of(board), now);
     }
-    return_tokens(bucket, demand.returned, now);
-    const auto decision = grant_tokens(bucket, demand.wanted, now);
+    const auto decision =
+        demand.is_extra ? grant_spare(bucket, demand.wanted, now) : grant_tokens(bucket, demand.wanted, now);
     return {demand.tenant, decision.tokens,
             static_cast<std::uint32_t>(
                 std::chrono::ceil<std::chrono::milliseconds>(decision.retry_after).count())};
@@ -183,19 +204,30 @@
     return answer;
 }
 
+/// @return the request of a waiter if it is still open
+gateway_request* open_request(gateway_board& board, const quota_waiter& waiter) {
+    const auto found = board.requests.find(waiter.request);
+    return found != board.requests.end() && found->second->exchange != nullptr ? found->second.get()
+                                                                               : nullptr;
+}
+
 /// Sends a request that holds a token on its way to a server.
 void resume(gateway_board& board, const quota_waiter& waiter, time_point token_expiry) {
-    const auto found = board.requests.find(waiter.request);
-    if (found != board.requests.end()) {
-        found->second->token_expiry = token_expiry;
-        enqueue_request(board, *found->second, attempt_purpose::first);
+    if (auto* it = open_request(board, waiter)) {
+        it->token_expiry = token_expiry;
+        enqueue_request(board, *it, waiter.purpose);
     }
 }
 
 void refuse(gateway_board& board, const quota_waiter& waiter, const error_response& response) {
-    const auto found = board.requests.find(waiter.request);
-    if (found != board.requests.end()) {
-        respond_with_error(board, *found->second, response);
+    auto* it = open_request(board, waiter);
+    if (it == nullptr) {
+        return;
+    }
+    if (waiter.purpose == attempt_purpose::first) {
+        respond_with_error(board, *it, response);
+    } else {
+        fail_unassigned(board, *it, waiter.purpose, response.reason, response.retry_after);
     }
 }
 
@@ -204,44 +236,62 @@
     return {status_too_many_requests, "quota of the tenant is used up", reserve.retry_after};
 }
 
+/// Removes the first open waiter of a tenant.
+std::optional<quota_waiter> take_waiter(gateway_board& board, std::uint64_t tenant) {
+    const auto found = board.quota.waiting.find(tenant);
+    if (found == board.quota.waiting.end()) {
+        return std::nullopt;
+    }
+    auto& waiters = found->second;
+    while (!waiters.empty() && open_request(board, waiters.front()) == nullptr) {
+        waiters.pop_front();
+    }
+    if (waiters.empty()) {
+        board.quota.waiting.erase(found);
+        return std::nullopt;
+    }
+    const auto first = waiters.front();
+    waiters.pop_front();
+    return first;
+}
+
 void apply_grant(gateway_board& board, const quota_tokens& granted, time_point asked_at, time_point now) {
     auto& reserve = board.quota.reserves[granted.tenant];
     add_tokens(reserve, granted.tokens, asked_at + token_lifetime(bounds_of(board)), now);
-    const auto waiting = board.quota.waiting.find(granted.tenant);
-    if (waiting == board.quota.waiting.end()) {
-        return;
-    }
-    auto& waiters = waiting->second;
-    while (!waiters.empty()) {
-        const auto expiry = take_token(reserve, now);
-        if (expiry == time_point{}) {
+    // Sending or refusing a request may lead to others of the same tenant, so nothing in the table is held.
+    while (has_token(reserve, now)) {
+        const auto waiter = take_waiter(board, granted.tenant);
+        if (!waiter) {
             break;
         }
-        const auto waiter = waiters.front();
-        waiters.pop_front();
-        resume(board, waiter, expiry);
+        resume(board, *waiter, take_token(reserve, now));
     }
-    if (granted.retry_after_ms > 0) {
-        reserve.retry_after = std::chrono::milliseconds(granted.retry_after_ms);
-        reserve.refused_until = now + std::clamp(reserve.retry_after, min_refusal, max_refusal);
-        for (const auto& it : std::exchange(waiters, {})) {
+    if (granted.retry_after_ms == 0) {
+        return;
+    }
+    reserve.retry_after = std::chrono::milliseconds(granted.retry_after_ms);
+    reserve.refused_until = now + std::clamp(reserve.retry_after, min_refusal, max_refusal);
+    if (const auto refused = board.quota.waiting.extract(granted.tenant)) {
+        for (const auto& it : refused.mapped()) {
             refuse(board, it, over_quota(board, reserve));
         }
     }
-    if (waiters.empty()) {
-        board.quota.waiting.erase(granted.tenant);
-    }
 }
 
-void ask_allocator(gateway_board& board, std::uint64_t tenant, std::uint32_t wanted, time_point now) {
+/// Asks for one token.
+void ask_allocator(gateway_board& board, std::uint64_t tenant, attempt_purpose purpose, time_point now) {
     auto& quota = board.quota;
     const auto shard = shard_of(tenant);
     quota_request_message request;
     request.vm = board.conf.vm;
     request.life = board.own_incarnation;
+    if (quota.last_number == 0) {
+        // A grant to a former process of this VM must not pass for one to this process.
+        quota.last_number = XXH3_64bits(&board.own_incarnation.value, sizeof(board.own_incarnation.value));
+    }
     request.number = ++quota.last_number;
     request.reply_to = board.conf.peer_address.text;
-    request.demands.push_back({tenant, wanted, std::exchange(quota.reserves[tenant].unused, 0)});
+    request.demands.push_back({tenant, 1, purpose == attempt_purpose::hedge});
     count(board, "quota_asks_total");
     quota.asked.emplace(request.number, now);
     if (quota.asked.size() > max_open_asks) {
@@ -256,27 +306,39 @@
     }
 }
 
+/// Keeps the VMs among which the floors are divided.
+void update_quota_fleet(gateway_board& board, time_point now) {
+    auto& quota = board.quota;
+    if (!board.peers.loaded || now - quota.fleet_updated_at < fleet_update_interval) {
+        return;
+    }
+    quota.fleet_updated_at = now;
+    quota.fleet.started = board.peers.started;
+    std::vector<vm_hash> members{hash_of(board.conf.vm)};
+    for (const auto& it : board.peers.peers) {
+        members.push_back(hash_of(it.first));
+    }
+    update_fleet(quota.fleet, members, bounds_of(board), now);
+}
+
 /// Lets a request for which no allocator has answered pass by the floor of this VM, or refuses it.
 void end_unanswered(gateway_board& board, const quota_waiter& waiter, time_point now) {
-    const auto found = board.requests.find(waiter.request);
-    if (found == board.requests.end()) {
+    const auto* request = open_request(board, waiter);
+    if (request == nullptr) {
         return;
     }
-    const auto& tenant = *found->second->tenant;
+    if (waiter.purpose == attempt_purpose::hedge) {
+        return; // the first attempt goes on
+    }
+    const auto& tenant = *request->tenant;
     const auto key = hash_of(tenant.id);
-    const auto seed = key;
-    const auto order = [seed](const vm_id& vm) {
-        return XXH3_64bits_withSeed(vm.text.data(), vm.text.size(), seed);
-    };
-    const auto own = order(board.conf.vm);
-    const auto ahead = std::count_if(board.peers.peers.begin(), board.peers.peers.end(),
-                                     [&](const auto& it) { return order(it.first) > own; });
     const auto bounds = bounds_of(board);
+    auto& reserve = board.quota.reserves[key];
     const auto floor =
-        floor_of_vm(limit_of(tenant), bounds, static_cast<std::size_t>(ahead), board.peers.peers.size() + 1);
-    if (board.peers.loaded && take_floor(board.quota.reserves[key], floor, bounds, now)) {
+        own_floor(board.quota.fleet, hash_of(board.conf.vm), key, limit_of(tenant), bounds, now);
+    if (const auto expiry = take_floor(reserve, floor, bounds, now); expiry != time_point{}) {
         count(board, "quota_floor_uses_total");
-        resume(board, waiter, {});
+        resume(board, waiter, expiry);
     } else {
         count(board, "quota_refusals_total{reason=\"no_allocator\"}");
         refuse(board, waiter,
@@ -292,7 +354,7 @@
 }
 
 void dispatch_within_quota(gateway_board& board, gateway_request& it) {
-    if (!has_quotas(board) || it.tenant == nullptr || it.tenant->rate <= 0.0) {
+    if (!has_quota(board, it)) {
         enqueue_request(board, it, attempt_purpose::first);
         return;
     }
@@ -308,8 +370,32 @@
         respond_with_error(board, it, over_quota(board, reserve));
         return;
     }
-    board.quota.waiting[tenant].push_back({it.number, now, 1});
-    ask_allocator(board, tenant, 1, now);
+    board.quota.waiting[tenant].push_back({it.number, now, 1, attempt_purpose::first});
+    ask_allocator(board, tenant, attempt_purpose::first, now);
+}
+
+bool admit_attempt(gateway_board& board, gateway_request& it) {
+    if (!has_quota(board, it)) {
+        return true;
+    }
+    const auto now = boot_clock::now();
+    const bool may_run_twice = may_have_run(proofs_of(it));
+    if (now < it.token_expiry && !may_run_twice) {
+        return true;
+    }
+    const auto tenant = hash_of(it.tenant->id);
+    it.token_expiry = take_token(board.quota.reserves[tenant], now);
+    if (it.token_expiry != time_point{}) {
+        return true;
+    }
+    count(board, "quota_late_asks_total");
+    auto purpose = attempt_purpose::first;
+    if (!it.attempts.empty()) {
+        purpose = it.attempts.back()->in_progress ? attempt_purpose::hedge : attempt_purpose::retry;
+    }
+    // The callers of this function are in the middle of the wait queue: the next review asks.
+    board.quota.waiting[tenant].push_back({it.number, time_point{}, 0, purpose});
+    return false;
 }
 
 void refund_token(gateway_board& board, gateway_request& it) {
@@ -338,8 +424,11 @@
 }
 
 void review_quota_waiters(gateway_board& board, time_point now) {
+    if (has_quotas(board)) {
+        update_quota_fleet(board, now);
+    }
     std::vector<quota_waiter> unanswered;
-    std::vector<std::uint64_t> ask_again;
+    std::vector<std::pair<std::uint64_t, attempt_purpose>> ask_again;
     for (auto& [tenant, waiters] : board.quota.waiting) {
         for (auto& it : waiters) {
             if (now - it.asked_at < answer_limit) {
@@ -350,14 +439,14 @@
             } else {
                 ++it.asks;
                 it.asked_at = now;
-                ask_again.push_back(tenant);
+                ask_again.emplace_back(tenant, it.purpose);
             }
         }
         std::erase_if(waiters, [now](const quota_waiter& it) { return now - it.asked_at >= answer_limit; });
     }
     std::erase_if(board.quota.waiting, [](const auto& it) { return it.second.empty(); });
-    for (const auto tenant : ask_again) {
-        ask_allocator(board, tenant, 1, now);
+    for (const auto& [tenant, purpose] : ask_again) {
+        ask_allocator(board, tenant, purpose, now);
     }
     for (const auto& it : unanswered) {
         end_unanswered(board, it, now);
@@ -365,38 +454,35 @@
 }
 
 void maintain_quota_leases(gateway_board& board, time_point now) {
-    if (!has_quotas(board) || !board.duties.is_head || !board.peers.loaded || board.stop) {
+    if (!has_quotas(board) || !board.peers.loaded) {
         return;
     }
-    const auto candidates = find_watchers(board.peers, now);
+    const auto candidates = board.duties.is_head ? find_watchers(board.peers, now) : std::vector<vm_id>{};
     for (std::size_t shard = 0; shard < quota_shards; ++shard) {
         auto& lease = board.quota.leases.at(shard);
         const auto position = candidate_position(candidates, board.conf.vm, shard);
-        if (!position && !lease.is_holder) {
+        const bool is_releasing = lease.is_holder && lease.is_stopping;
+        // A holder that is no candidate any more renews its lease as long as it is a head.
+        if (!position && !is_releasing && !(lease.is_holder && board.duties.is_head)) {
             continue;
         }
         if (lease.write_started == time_point{}) {
             lease.write_started = board.peers.started - quota_renewal_interval;
+            lease.may_have_former = !board.conf.first_start;
         }
         const auto action = next_action(lease, hash_of(board.conf.vm), position.value_or(0), now);
         if (action != quota_lease_action::none) {
             write_lease(board, shard, action,
-                        next_record(lease, hash_of(board.conf.vm), board.own_incarnation));
+                        next_record(lease, hash_of(board.conf.vm), board.own_incarnation, now));
         }
     }
 }
 
 void release_quota_leases(gateway_board& board) {
-    for (std::size_t shard = 0; shard < quota_shards; ++shard) {
-        auto& lease = board.quota.leases.at(shard);
-        if (lease.is_holder) {
-            stop_granting(lease);
-            auto record = next_record(lease, hash_of(board.conf.vm), board.own_incarnation);
-            record.released = true;
-            write_lease(board, shard, quota_lease_action::renew, record);
-            log_lease(board, "quota_lease_released", shard);
-        }
+    for (auto& it : board.quota.leases) {
+        stop_granting(it);
     }
+    maintain_quota_leases(board, boot_clock::now());
 }
 
 std::vector<quota_lease_status> known_quota_leases(const gateway_board& board) {
@@ -412,12 +498,19 @@
 }
 
 void apply_known_quota_leases(gateway_board& board, const gateway_status_message& status, time_point now) {
+    bool has_new_holder = false;
     for (const auto& it : status.quota_leases) {
         if (it.shard < quota_shards) {
-            note_seen(board.quota.leases.at(it.shard), it.revision, {it.holder, {}, 0, it.released},
-                      hash_of(board.conf.vm), board.own_incarnation, now);
+            auto& lease = board.quota.leases.at(it.shard);
+            const auto holder = lease.record.holder;
+            note_seen(lease, it.revision, {it.holder, {}, 0, it.released}, hash_of(board.conf.vm),
+                      board.own_incarnation, now);
+            has_new_holder = has_new_holder || lease.record.holder != holder;
         }
     }
+    if (has_new_holder && board.duties.is_head) {
+        send_status(board, true); // the VMs of this domain hear of it from their heads only
+    }
 }
 
 } // namespace endivelever
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -125,7 +125,7 @@
     std::vector<fb::QuotaDemand> wanted;
     wanted.reserve(value.demands.size());
     for (const auto& it : value.demands) {
-        wanted.emplace_back(it.tenant, it.wanted, it.returned);
+        wanted.emplace_back(it.tenant, it.wanted, it.is_extra);
     }
     const auto demands = out.CreateVectorOfStructs(wanted);
     return fb::CreateQuotaRequest(out, vm, value.life.value, value.number, reply_to, demands).Union();
@@ -304,7 +304,7 @@
 
 message unpack(field_reader& in, const fb::QuotaRequest* value) {
     const auto demand = [](const fb::QuotaDemand* it) {
-        return quota_demand{it->tenant(), it->wanted(), it->returned()};
+        return quota_demand{it->tenant(), it->wanted(), it->is_extra()};
     };
     return quota_request_message{vm_id(in.name(value->vm())), incarnation{value->life()}, value->number(),
                                  in.name(value->reply_to()),
