--- a/src/decide/quota_lease.cpp
+++ b/src/decide/quota_lease.cpp
@@ -91,6 +91,11 @@
 
 void note_seen(quota_lease& lease, std::uint64_t revision, const quota_lease_record& record, vm_hash own,
                incarnation own_life, time_point now) {
+    const bool is_named_in_full = record.life != incarnation{};
+    if (revision == lease.revision && is_named_in_full && lease.record.life == incarnation{}) {
+        lease.record = record; // a status has named this revision before
+        return;
+    }
     if (revision <= lease.revision) {
         return;
     }
--- a/src/gateway/quota.cpp
+++ b/src/gateway/quota.cpp
@@ -129,6 +129,7 @@
         if (was_holder && !lease.is_holder) {
             log_lease(board, "quota_lease_lost", shard);
         }
+        maintain_quota_leases(board, boot_clock::now());
     }
 }
 
--- a/tests/unit/quota_lease_test.cpp
+++ b/tests/unit/quota_lease_test.cpp
@@ -196,5 +196,31 @@
     EXPECT_EQ(12U, lease.revision);
 }
 
+// Guards against waiting, after a restart, for a lease that a former life of this VM held, when a status has
+// named the lease before the store did.
+TEST(quota_lease, of_a_former_life_is_taken_at_once) {
+    quota_lease lease;
+    note_seen(lease, 10, {own, {}, 0, false}, own, life, start);
+    note_seen(lease, 10, {own, incarnation{2}, 5, false, 0}, own, life, start + 10ms);
+    EXPECT_EQ(quota_lease_action::take, next_action(lease, own, 0, start + 11ms));
+    const auto record = next_record(lease, own, life, start + 11ms);
+    note_write_started(lease, start + 11ms);
+    note_written(lease, 11, record, start + 11ms);
+    EXPECT_TRUE(may_grant(lease, start + 12ms));
+}
+
+// Guards against two allocators after a lease was taken while a former one was valid, and its holder
+// restarted.
+TEST(quota_lease, of_a_former_life_keeps_the_end_of_the_lease_before_it) {
+    quota_lease lease;
+    note_seen(lease, 10, {own, incarnation{2}, 5, false, 700}, own, life, start);
+    const auto record = next_record(lease, own, life, start);
+    note_write_started(lease, start);
+    note_written(lease, 11, record, start);
+    EXPECT_FALSE(may_grant(lease, start + 700ms));
+    EXPECT_TRUE(may_grant(lease, start + 700ms + quota_lease_margin));
+    EXPECT_GE(next_record(lease, own, life, start + 100ms).gate_ms, 600U);
+}
+
 } // namespace
 } // namespace endivelever
