--- a/tests/unit/peer_table_test.cpp
+++ b/tests/unit/peer_table_test.cpp
@@ -87,6 +87,7 @@
     std::uint64_t own_revision;
     void (*change)(gateway_status_message&);
     duration confirmed; ///< expected, relative to `start`; 0 for none
+    std::uint64_t own_evacuations = 0;
 };
 
 struct confirmation : testing::TestWithParam<confirmation_case> {};
@@ -100,7 +101,8 @@
     it.knowledge_age_ms = 300;
     GetParam().change(it);
     ASSERT_TRUE(merge_status(table, it, start + 10s));
-    update_confirmations(table, {GetParam().own_version, GetParam().own_revision});
+    update_confirmations(table,
+                         {GetParam().own_version, GetParam().own_revision, GetParam().own_evacuations});
     const auto expected =
         GetParam().confirmed == duration::zero() ? time_point{} : start + GetParam().confirmed;
     EXPECT_EQ(expected, table.confirmed_at);
@@ -123,7 +125,23 @@
                           [](gateway_status_message& it) {
                               it.knowledge_age_ms = gateway_status_message().knowledge_age_ms;
                           },
-                          {}}),
+                          {}},
+        confirmation_case{"same_evacuations", 5, 50,
+                          [](gateway_status_message& it) { it.evacuations_revision = 60; }, 9700ms, 60},
+        confirmation_case{"older_evacuations", 5, 50,
+                          [](gateway_status_message& it) { it.evacuations_revision = 59; }, 9700ms, 60},
+        confirmation_case{"newer_evacuations",
+                          5,
+                          50,
+                          [](gateway_status_message& it) { it.evacuations_revision = 61; },
+                          {},
+                          60},
+        confirmation_case{"evacuations_not_known_here",
+                          5,
+                          50,
+                          [](gateway_status_message& it) { it.evacuations_revision = 60; },
+                          {}},
+        confirmation_case{"evacuations_not_known_there", 5, 50, [](gateway_status_message&) {}, 9700ms, 60}),
     [](const auto& it) { return it.param.name; });
 
 struct unconfirmed_case {
