--- a/tests/fakes/fake_object_store.cpp
+++ b/tests/fakes/fake_object_store.cpp
@@ -142,6 +142,9 @@
         return;
     }
     auto target = parse_target(exchange.target());
+    if (!silent_kind.empty() && target.kind == silent_kind) {
+        return;
+    }
     if (exchange.method() != "GET") {
         answer_write(exchange, target.kind, body);
     } else if (const auto& since = target.query["watch"]; !since.empty()) {
--- a/tests/fakes/fake_object_store.hpp
+++ b/tests/fakes/fake_object_store.hpp
@@ -38,6 +38,7 @@
 
     manner behaviour = manner::serves;
     std::size_t page_size;
+    std::string silent_kind;         ///< calls for this kind get no response
     bool repeats_pages = false;      ///< each page of a list is the first one
     std::size_t invalid_targets = 0; ///< requests that were rejected for their target
     int lost_writes = 0;             ///< so many writes are done and not answered
--- a/tests/fakes/fake_target.cpp
+++ b/tests/fakes/fake_target.cpp
@@ -39,6 +39,7 @@
         headers.insert(headers.end(), directives.begin(), directives.end());
     }
     if (is_probe) {
+        ++probes;
         exchange.respond(200, headers, "");
         return;
     }
@@ -48,6 +49,7 @@
         return;
     }
     arrivals.push_back(boot_clock::now());
+    received_heads.push_back(exchange.headers());
     const auto* expected = find_header(exchange.headers(), "X-Expect-Instance");
     if (expected != nullptr && *expected != m_id) {
         headers.push_back({"X-Request-Id", *id});
--- a/tests/fakes/fake_target.hpp
+++ b/tests/fakes/fake_target.hpp
@@ -49,6 +49,8 @@
     http_headers directives;                   ///< added to each response
     bool directives_in_probes = true;          ///< also to responses to health checks
     std::vector<time_point> arrivals;          ///< of requests, also of those that it rejects
+    std::vector<http_headers> received_heads;  ///< of requests, also of those that it rejects
+    std::size_t probes = 0;                    ///< health checks received
     std::vector<std::string> ran;              ///< ids of the requests that began to run
     std::vector<std::string> left;             ///< ids whose connection closed before the response
     std::map<std::string, http_headers> heads; ///< by request id
