Refuse keys on public routes while the configuration may be out of date

Cause: a request to a public route with a key that was taken away was sent with X-Tenant of its former tenant, however old the configuration was; the check of the proof applied to other routes only. Change: every request with a key is refused with 503 while the proof is too old. Result: unproven_request.public_with_known_key and public_with_unknown_key failed before (200), and pass.

--- a/src/gateway/intake.cpp
+++ b/src/gateway/intake.cpp
@@ -81,17 +81,13 @@
     return !it.table->config.tenants.empty() && !it.matched_route->is_public;
 }
 
-/// Finds the tenant of a request by its key.
-/// @return true if the request has a key that the configuration knows
-bool authenticate(gateway_request& it, const http_headers& headers) {
+/// @return the key of a request; empty if it has none or several Authorization fields
+std::string_view key_of(const http_headers& headers) {
     const auto is_authorization = [](const http_header& header) {
         return header_names_equal(header.name, authorization_header);
     };
     const auto keys = std::count_if(headers.begin(), headers.end(), is_authorization);
-    if (keys == 1) {
-        it.tenant = find_tenant(it.table->tenants, bearer_key(*find_header(headers, authorization_header)));
-    }
-    return it.tenant != nullptr;
+    return keys == 1 ? bearer_key(*find_header(headers, authorization_header)) : std::string_view();
 }
 
 void on_request_head(gateway_board& board, http_exchange& exchange) {
@@ -107,14 +103,16 @@
         respond_with_error(board, it, {status_not_found, "no route matches host and path", {}});
         return;
     }
-    const bool has_key = authenticate(it, exchange.headers());
-    if (needs_key(it) && !may_serve_keys(board, it.arrived)) {
+    const auto key = key_of(exchange.headers());
+    // On a public route, too, a server must not be told a tenant that may have lost its key.
+    if ((needs_key(it) || !key.empty()) && !may_serve_keys(board, it.arrived)) {
         count(board, "keys_not_checked_total");
         respond_with_error(board, it,
                            {status_unavailable, "configuration may be out of date", unproven_retry_after});
         return;
     }
-    if (needs_key(it) && !has_key) {
+    it.tenant = find_tenant(it.table->tenants, key);
+    if (needs_key(it) && it.tenant == nullptr) {
         count(board, "keys_rejected_total");
         respond_with_error(board, it, {status_unauthorized, "key is missing or not known", {}});
         return;
--- a/tests/contract/tenant_key_test.cpp
+++ b/tests/contract/tenant_key_test.cpp
@@ -405,6 +405,9 @@
     testing::Values(unproven_case{"known_key", "/again/x", alpha, 503},
                     unproven_case{"unknown_key", "/again/x", "Authorization: Bearer stranger\r\n", 503},
                     unproven_case{"no_key", "/again/x", "", 503},
+                    unproven_case{"public_with_known_key", "/open/x", alpha, 503},
+                    unproven_case{"public_with_unknown_key", "/open/x", "Authorization: Bearer stranger\r\n",
+                                  503},
                     unproven_case{"public_without_key", "/open/x", "", 200},
                     unproven_case{"public_with_basic", "/open/x", "Authorization: Basic abc\r\n", 200}),
     [](const auto& it) { return it.param.name; });
