Review the keys of unsent requests when the configuration changes

Cause: a request that waited, or whose body was still read, ran with its tenant although a newer configuration had taken its key away or moved it. Change: a new configuration refuses such requests with 401, or with 503 and Retry-After if the key has moved, unless a server may have received them. Result: three tests of tenant_change failed before (200 instead of 401 and 503), and pass.

--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -7,6 +7,10 @@
 // Requests from callers.
 http_server::handlers caller_handlers(gateway_board& board);
 
+/// Refuses the requests that were not sent to a server and whose key the configuration in force gives to
+/// another tenant or to none.
+void review_keys(gateway_board& board);
+
 /// Sends a completely received request to a server, or refuses it if no server can accept it.
 void dispatch(gateway_board& board, gateway_request& it);
 
--- a/src/gateway/intake.cpp
+++ b/src/gateway/intake.cpp
@@ -16,6 +16,8 @@
 constexpr duration startup_retry_after = 300ms;
 // Most VMs have a proof that is recent, so a caller does best to go to another one at once.
 constexpr duration unproven_retry_after = 50ms;
+// The next attempt is accepted at once; a moment spreads the callers of a tenant.
+constexpr duration moved_retry_after = 50ms;
 // Precision of the deadlines that callers send; smaller differences do not indicate a retry.
 constexpr duration deadline_precision = 10ms;
 constexpr std::size_t max_tracked_routes = 20'000;
@@ -176,8 +178,43 @@
     remove_request(board, *it);
 }
 
+/// True if no server can have received the request.
+bool is_unsent(const gateway_request& it) {
+    return it.exchange != nullptr && it.matched_route != nullptr && !may_have_run(proofs_of(it));
+}
+
+/// Refuses a request if its key has another tenant, or none, in the configuration in force.
+void review_key(gateway_board& board, gateway_request& it) {
+    const auto* tenant = find_tenant(board.routes->tenants, key_of(it.exchange->headers()));
+    if (tenant != nullptr && tenant->id == it.tenant->id) {
+        return;
+    }
+    if (tenant == nullptr && !board.routes->config.tenants.empty() && needs_key(it)) {
+        count(board, "keys_rejected_total");
+        respond_with_error(board, it, {status_unauthorized, "key was taken away", {}});
+    } else {
+        // Priority and quota of the former tenant were applied to it.
+        respond_with_error(board, it, {status_unavailable, "key has moved", moved_retry_after});
+    }
+}
+
 } // namespace
 
+void review_keys(gateway_board& board) {
+    std::vector<request_number> unsent;
+    for (const auto& [number, it] : board.requests) {
+        if (it->tenant != nullptr && is_unsent(*it)) {
+            unsent.push_back(number);
+        }
+    }
+    for (const auto number : unsent) {
+        const auto found = board.requests.find(number);
+        if (found != board.requests.end() && is_unsent(*found->second)) {
+            review_key(board, *found->second);
+        }
+    }
+}
+
 http_server::handlers caller_handlers(gateway_board& board) {
     http_server::handlers handlers;
     handlers.on_head = [&board](http_exchange& exchange) { on_request_head(board, exchange); };
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -370,6 +370,7 @@
                  {"replaces", static_cast<std::int64_t>(old_version)},
                  {"routes", static_cast<std::int64_t>(board.routes->config.routes.size())},
                  {"revision", static_cast<std::int64_t>(revision.value)}});
+    review_keys(board);
     update_pools(board);
     send_status(board, true);
 }
--- a/tests/contract/tenant_key_test.cpp
+++ b/tests/contract/tenant_key_test.cpp
@@ -322,6 +322,29 @@
     EXPECT_EQ(7, waiting(gateway).front().rank);
 }
 
+// Guards against requests that run with a key that was taken away while they waited.
+TEST_F(tenant_change, waiting_request_whose_key_is_taken_away_is_refused) {
+    auto& gateway = start_full();
+    const auto connection = send_waiting(gateway);
+    put_resources({tenant("alpha", {alpha_spare_key}), tenant("beta", {beta_key})});
+    ASSERT_TRUE(wait_for_version(gateway));
+    targets.front()->load = "0,0,4,100";
+    EXPECT_EQ(401, wait_for_status(*connection));
+    EXPECT_EQ(0, targets.front()->arrivals.size());
+}
+
+// Guards against requests that run for the former tenant of a key that was moved while they waited.
+TEST_F(tenant_change, waiting_request_whose_key_is_moved_does_not_run_for_the_former_tenant) {
+    auto& gateway = start_full();
+    const auto connection = send_waiting(gateway);
+    put_resources({tenant("alpha", {alpha_spare_key}), tenant("beta", {beta_key, alpha_key})});
+    ASSERT_TRUE(wait_for_version(gateway));
+    targets.front()->load = "0,0,4,100";
+    EXPECT_EQ(503, wait_for_status(*connection));
+    EXPECT_NE(std::string::npos, connection->received.find("Retry-After:"));
+    EXPECT_EQ(0, targets.front()->arrivals.size());
+}
+
 // Guards against a refusal of waiting requests that a change does not concern.
 TEST_F(tenant_change, waiting_request_whose_key_remains_goes_on_waiting) {
     auto& gateway = start_full();
@@ -331,6 +354,21 @@
     EXPECT_EQ(200, wait_for_status(*connection));
 }
 
+// Guards against an upload that is admitted, loses its key while its body is read, and runs.
+TEST_F(tenant_change, upload_whose_key_is_taken_away_before_its_body_ends_is_refused) {
+    auto& gateway = start_full();
+    const auto connection = connect_caller(gateway);
+    connection->send_some(head_of("POST", "/upload/x", "id-1", alpha + "Content-Length: 8\r\n") + "half");
+    ASSERT_TRUE(loop.run_until([&] { return !gateway.board().requests.empty(); }));
+    loop.run_for(20ms);
+    put_resources({tenant("beta", {beta_key})});
+    ASSERT_TRUE(wait_for_version(gateway));
+    targets.front()->load = "0,0,4,100";
+    connection->send_some("half");
+    EXPECT_EQ(401, wait_for_status(*connection));
+    EXPECT_EQ(0, targets.front()->arrivals.size());
+}
+
 // Guards against a change that ends an attempt in progress, which may have run.
 TEST_F(tenant_change, request_in_progress_continues_without_its_key) {
     auto& gateway = start_full();
