Apply each statement of a server that it is cold

Cause: an entry counted only if its warm-up differed from the one before. A server that restarted under its id, or became cold again, and stated the same time as before got the full load. Change: the entry's sequence, address and start tell statements apart. Result: cold_server.next_incarnation_with_the_same_warm_up_is_cold and repeated_statement_of_the_same_time_counts failed before, and pass; old_entry_is_applied_once still passes.

--- a/include/endivelever/config/routing.hpp
+++ b/include/endivelever/config/routing.hpp
@@ -83,8 +83,9 @@
     endivelever::failure_domain failure_domain;
     std::uint32_t slots = 1; ///< requests it runs at the same time
     bool draining = false;
-    duration warm_up_left{};   ///< how much longer it is slow after its start
-    std::int64_t start_ms = 0; ///< Unix milliseconds of its start; tells two lives under one id apart
+    duration warm_up_left{};    ///< how much longer it is slow after its start
+    std::int64_t start_ms = 0;  ///< Unix milliseconds of its start; tells two lives under one id apart
+    std::int64_t statement = 0; ///< number of this entry among those of the server
 
     bool operator==(const registered_server&) const = default;
 };
--- a/include/endivelever/config/vm_list.hpp
+++ b/include/endivelever/config/vm_list.hpp
@@ -29,8 +29,9 @@
     std::uint32_t slots = 0;       ///< 0 means the service's setting
     std::uint32_t connections = 0; ///< 0 means the service's setting
     bool leaving = false;
-    duration warm_up_left{};   ///< how much longer it is slow after its start; 0 if not known
-    std::int64_t start_ms = 0; ///< Unix milliseconds of its start; tells two lives under one id apart
+    duration warm_up_left{};    ///< how much longer it is slow after its start; 0 if not known
+    std::int64_t start_ms = 0;  ///< Unix milliseconds of its start; tells two lives under one id apart
+    std::int64_t statement = 0; ///< number of this entry among those of the server; 0 if not known
 };
 
 /// The platform's list of live and leaving VMs. It lags behind reality.
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -117,9 +117,9 @@
 /// Treats a server as just started.
 void assume_cold(gateway_board& board, const gateway_service& service, server_view& view);
 /// Updates what the evacuations and the entries of its servers mean for the pool of a service.
-/// @param known_warm_up  remaining warm-up in the entries that were applied before
+/// @param known  entries that were applied before
 void update_server_uses(gateway_board& board, gateway_service& service,
-                        const std::map<server_id, duration>& known_warm_up);
+                        const std::map<server_id, listed_server>& known);
 
 // Quotas of tenants.
 /// True if the settings bound the requests of tenants and the configuration has tenants.
--- a/src/gateway/evacuation.cpp
+++ b/src/gateway/evacuation.cpp
@@ -36,6 +36,13 @@
                              warm_up_senders(limit));
 }
 
+/// True if an entry states anew how long its server stays cold. The time alone does not tell: each start of a
+/// server states the same one.
+bool is_new_statement(const listed_server& before, const listed_server& it) {
+    return before.address != it.address || before.start_ms != it.start_ms ||
+           before.statement != it.statement || before.warm_up_left != it.warm_up_left;
+}
+
 } // namespace
 
 bool tracks_evacuations(const gateway_board& board) {
@@ -102,11 +109,11 @@
 }
 
 void update_server_uses(gateway_board& board, gateway_service& service,
-                        const std::map<server_id, duration>& known_warm_up) {
+                        const std::map<server_id, listed_server>& known) {
     for (auto& view : service.pool.servers) {
         view.evacuated = board.evacuations.domains.contains(view.listed.failure_domain);
-        const auto known = known_warm_up.find(view.listed.id);
-        if (known == known_warm_up.end() || known->second != view.listed.warm_up_left) {
+        const auto before = known.find(view.listed.id);
+        if (before == known.end() || is_new_statement(before->second, view.listed)) {
             note_cold_server(board, service, view, view.listed.warm_up_left);
         }
     }
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -171,8 +171,8 @@
 }
 
 listed_server to_listed(const registered_server& it, std::uint32_t connections) {
-    return {it.id,       it.service,  it.failure_domain, it.address, it.slots,
-            connections, it.draining, it.warm_up_left,   it.start_ms};
+    return {it.id,       it.service,  it.failure_domain, it.address,  it.slots,
+            connections, it.draining, it.warm_up_left,   it.start_ms, it.statement};
 }
 
 /// Hash of this VM's id scaled to [0, 1), uniformly distributed over the fleet.
@@ -198,12 +198,12 @@
     const auto vms = board.peers.fleet_size;
     service.warm_up = conf.warm_up;
     service.warm_up_rate = conf.warm_up_rate;
-    std::map<server_id, duration> known_warm_up;
+    std::map<server_id, listed_server> known;
     for (const auto& it : pool.servers) {
-        known_warm_up.emplace(it.listed.id, it.listed.warm_up_left);
+        known.emplace(it.listed.id, it.listed);
     }
     update_servers(pool, listed, {}, vms, now);
-    update_server_uses(board, service, known_warm_up);
+    update_server_uses(board, service, known);
     service.default_response_time = assumed_time(board.routes->config, conf.id);
     if (board.peers.loaded) {
         const bool is_new = service.retries.max_tokens == 0.0;
--- a/tests/contract/evacuation_test.cpp
+++ b/tests/contract/evacuation_test.cpp
@@ -297,6 +297,32 @@
     EXPECT_TRUE(becomes(false));
 }
 
+// Guards against a next incarnation that counts as warm because its entry states the same time as the entry
+// of the former one.
+TEST_F(cold_server, next_incarnation_with_the_same_warm_up_is_cold) {
+    put_resources({});
+    add_target_in("i-a", "zone-a");
+    auto& target = add_target_in("i-b", "zone-b", 700);
+    auto& gateway = open_gateway("vm-1");
+    ASSERT_TRUE(wait_until_ready(gateway));
+    ASSERT_TRUE(loop.run_until([&] { return view(gateway, "i-b") && !is_cold_server(gateway, "i-b"); }));
+    loop.run_until([&] { return !is_cold_server(gateway, "i-b"); });
+    loop.run_for(800ms);
+    put_entry(target, "i-b", "zone-b", 700, 1, 1700000009000);
+    EXPECT_TRUE(loop.run_until([&] { return is_cold_server(gateway, "i-b"); }, 3s));
+}
+
+// Guards against a server that became cold again and counts as warm, because its entry states the same time
+// as before.
+TEST_F(cold_server, repeated_statement_of_the_same_time_counts) {
+    auto& gateway = start_two_domains();
+    put_entry(*targets[1], "i-b", "zone-b", 700, 2);
+    ASSERT_TRUE(loop.run_until([&] { return is_cold_server(gateway, "i-b"); }));
+    ASSERT_TRUE(loop.run_until([&] { return !is_cold_server(gateway, "i-b"); }));
+    put_entry(*targets[1], "i-b", "zone-b", 700, 3);
+    EXPECT_TRUE(loop.run_until([&] { return is_cold_server(gateway, "i-b"); }, 3s));
+}
+
 // Guards against an old entry that makes a warm server cold each time that the pool is updated.
 TEST_F(cold_server, old_entry_is_applied_once) {
     auto& gateway = start_two_domains();
