Choose the VMs that use a cold server again when members change

Cause: whether a VM sends to a cold server was decided once, when the server became cold. A VM that knew no other VM at that moment went on sending for the whole time, together with those that should. Change: it is decided with each update of the pools. Result: cold_server.senders_follow_the_members failed before (still a sender after 15 s), and passes.

--- a/src/gateway/evacuation.cpp
+++ b/src/gateway/evacuation.cpp
@@ -110,12 +110,17 @@
 
 void update_server_uses(gateway_board& board, gateway_service& service,
                         const std::map<server_id, listed_server>& known) {
+    const auto now = boot_clock::now();
     for (auto& view : service.pool.servers) {
         view.evacuated = board.evacuations.domains.contains(view.listed.failure_domain);
         const auto before = known.find(view.listed.id);
         if (before == known.end() || is_new_statement(before->second, view.listed)) {
             note_cold_server(board, service, view, view.listed.warm_up_left);
         }
+        if (is_cold(view.warm_up_use, now)) {
+            // The members that are known may have changed.
+            view.warm_up_use.is_sender = uses_cold_server(board, view, service.warm_up_rate);
+        }
     }
 }
 
--- a/tests/contract/evacuation_test.cpp
+++ b/tests/contract/evacuation_test.cpp
@@ -334,6 +334,20 @@
     EXPECT_FALSE(is_cold_server(gateway, "i-b"));
 }
 
+// Guards against a VM that goes on using a cold server after it has learned of the VMs that should use it.
+TEST_F(cold_server, senders_follow_the_members) {
+    auto& gateway = start_two_domains();
+    put_entry(*targets[1], "i-b", "zone-b", 60'000, 2);
+    ASSERT_TRUE(loop.run_until([&] { return is_cold_server(gateway, "i-b"); }));
+    EXPECT_TRUE(view(gateway, "i-b")->warm_up_use.is_sender);
+    for (int i = 0; i < 10; ++i) {
+        store.put("gateway-vms", "vm-b-" + std::to_string(i),
+                  {{"failure_domain", "zone-b"}, {"peer_address", "127.0.0.1:9"}, {"capacity", 10}});
+    }
+    EXPECT_TRUE(loop.run_until([&] { return !view(gateway, "i-b")->warm_up_use.is_sender; }, 15s));
+    EXPECT_TRUE(is_cold_server(gateway, "i-b"));
+}
+
 // Guards against a cold server that gets more than it tolerates from a single VM.
 TEST_F(cold_server, single_vm_sends_one_request_a_second) {
     put_resources({});
