Keep the time that a server stated when its domain is readmitted

Cause: a readmission set the warm-up of the service, also if the server had stated a longer time. Change: the longer of both counts. Result: cold_server.readmission_does_not_shorten_what_the_server_stated failed before, and passes.

--- a/src/gateway/evacuation.cpp
+++ b/src/gateway/evacuation.cpp
@@ -105,7 +105,9 @@
 }
 
 void assume_cold(gateway_board& board, const gateway_service& service, server_view& view) {
-    note_cold_server(board, service, view, service.warm_up);
+    // The server may have stated a longer time.
+    const auto stated = view.warm_up_use.cold_until - boot_clock::now();
+    note_cold_server(board, service, view, std::max(service.warm_up, stated));
 }
 
 void update_server_uses(gateway_board& board, gateway_service& service,
--- a/tests/contract/evacuation_test.cpp
+++ b/tests/contract/evacuation_test.cpp
@@ -269,6 +269,21 @@
     EXPECT_FALSE(is_cold_server(gateway, "i-a"));
 }
 
+// Guards against a readmission that shortens the time for which a server says that it stays cold.
+TEST_F(cold_server, readmission_does_not_shorten_what_the_server_stated) {
+    put_resources({});
+    add_target_in("i-b", "zone-b", 60'000);
+    auto& gateway = open_gateway("vm-1");
+    ASSERT_TRUE(wait_until_ready(gateway));
+    ASSERT_TRUE(loop.run_until([&] { return is_cold_server(gateway, "i-b"); }));
+    const auto stated_until = view(gateway, "i-b")->warm_up_use.cold_until;
+    evacuate("zone-b");
+    ASSERT_TRUE(wait_for_evacuated(gateway, 1));
+    store.remove("evacuations", "zone-b");
+    ASSERT_TRUE(wait_for_evacuated(gateway, 0));
+    EXPECT_GE(view(gateway, "i-b")->warm_up_use.cold_until, stated_until);
+}
+
 // Guards against full load on a server whose entry states that it is cold, and against a server that is held
 // back although its entry states that it is warm.
 TEST_F(cold_server, entry_states_that_a_server_is_cold_and_warm_again) {
