Do not serve the configuration on the metrics port

Cause: the metrics listener answered the requests of peers too, so that whoever may read metrics could read the keys of all tenants. Change: only the control address answers them. Result: tenant_change.metrics_listener_does_not_serve_the_configuration failed before (200), and passes.

--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -154,13 +154,18 @@
 void update_duties(gateway_board& board, time_point now);
 /// Requests configuration or server entries from a peer whose status shows newer ones.
 void pull_if_newer(gateway_board& board, const gateway_status_message& status);
+/// True for the paths of such requests.
+bool is_peer_path(std::string_view path);
 /// Responds to such a request. @return false if the path is none of them
 bool handle_peer_request(gateway_board& board, http_exchange& exchange);
 
 // Administration.
 http_server::handlers ready_handlers(gateway_board& board);
 http_server::handlers lookup_handlers(gateway_board& board);
+/// Serves metrics only: the configuration that peers request contains the keys of tenants.
 http_server::handlers metrics_handlers(gateway_board& board);
+/// Serves requests of peers, and metrics.
+http_server::handlers relay_handlers(gateway_board& board);
 
 // Periodic work.
 /// Ends requests whose deadline has passed, updates server states, hedges late requests and processes the
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -93,6 +93,10 @@
     return exposition_text(board.counters);
 }
 
+void respond_metrics(gateway_board& board, http_exchange& exchange) {
+    exchange.respond(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_text(board));
+}
+
 } // namespace
 
 http_server::handlers ready_handlers(gateway_board& board) {
@@ -104,9 +108,19 @@
 }
 
 http_server::handlers metrics_handlers(gateway_board& board) {
+    return on_head_handlers([&board](http_exchange& exchange) {
+        if (is_peer_path(exchange.path())) {
+            respond_json(exchange, status_not_found, "{\"error\":\"path is not known\"}\n");
+        } else {
+            respond_metrics(board, exchange);
+        }
+    });
+}
+
+http_server::handlers relay_handlers(gateway_board& board) {
     return on_head_handlers([&board](http_exchange& exchange) {
         if (!handle_peer_request(board, exchange)) {
-            exchange.respond(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_text(board));
+            respond_metrics(board, exchange);
         }
     });
 }
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -76,8 +76,7 @@
             listen(board.lookup_server, conf.lookup_address, auxiliary_options(), lookup_handlers(board));
     }
     if (failure.id == 0) {
-        failure =
-            listen(board.relay_server, conf.relay_address, auxiliary_options(), metrics_handlers(board));
+        failure = listen(board.relay_server, conf.relay_address, auxiliary_options(), relay_handlers(board));
     }
     if (failure.id != 0) {
         return failure;
--- a/src/gateway/peer_sync.cpp
+++ b/src/gateway/peer_sync.cpp
@@ -203,6 +203,10 @@
     }
 }
 
+bool is_peer_path(std::string_view path) {
+    return path == routing_path || path == servers_path;
+}
+
 bool handle_peer_request(gateway_board& board, http_exchange& exchange) {
     const auto path = exchange.path();
     const http_headers headers{{"Content-Type", "application/octet-stream"}};
@@ -225,7 +229,7 @@
         exchange.respond(status_ok, headers, cached_servers_response(board, since));
         return true;
     }
-    if (path == routing_path || path == servers_path) {
+    if (is_peer_path(path)) {
         exchange.respond(status_not_found, {}, "not known yet\n");
         return true;
     }
--- a/tests/contract/tenant_key_test.cpp
+++ b/tests/contract/tenant_key_test.cpp
@@ -459,5 +459,14 @@
     EXPECT_EQ(200, readiness(gateway));
 }
 
+// Guards against keys that anyone who may read the metrics can fetch.
+TEST_F(tenant_change, metrics_listener_does_not_serve_the_configuration) {
+    auto& gateway = start_full();
+    const auto& answer = get(gateway.board().conf.metrics_address, "/peer/routing");
+    const auto& metrics = get(gateway.board().conf.metrics_address, "/metrics");
+    EXPECT_NE(std::string::npos, metrics.body.find("gateway_routing_version"));
+    EXPECT_EQ(404, answer.status);
+}
+
 } // namespace
 } // namespace endivelever::http_test
