Do not put the periodic review off with each short request

Cause: a request that arrived while no other was open started the review timer anew. Short requests one after the other, each within 10 ms of the one before, stopped medians, probe credit, waits and removal of missing servers. Change: the timer is started anew only if it runs with the long interval.

--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -45,6 +45,7 @@
 struct gateway_process::state {
     gateway_board board;
     std::unique_ptr<timer> review_timer;
+    bool review_is_soon = false; ///< the review timer was started with review_interval
     std::unique_ptr<timer> status_timer;
     std::unique_ptr<timer> store_timer;
     std::unique_ptr<timer> stop_timer;
@@ -103,10 +104,16 @@
 void gateway_process::state::start_timers() {
     review_timer = std::make_unique<timer>(board.loop, [this] {
         run_maintenance(board);
-        review_timer->start(board.requests.empty() ? idle_review_interval : review_interval);
+        review_is_soon = !board.requests.empty();
+        review_timer->start(review_is_soon ? review_interval : idle_review_interval);
     });
     review_timer->start(idle_review_interval);
-    board.on_first_request = [this] { review_timer->start(review_interval); };
+    board.on_first_request = [this] {
+        // A new start for each request would put the review off as long as short requests follow each other.
+        if (!std::exchange(review_is_soon, true)) {
+            review_timer->start(review_interval);
+        }
+    };
     status_timer = std::make_unique<timer>(board.loop, [this] {
         send_status(board, false);
         update_watches(board);
--- a/tests/contract/tenant_key_test.cpp
+++ b/tests/contract/tenant_key_test.cpp
@@ -459,6 +459,17 @@
     EXPECT_EQ(200, readiness(gateway));
 }
 
+// Guards against short requests that follow each other and put the periodic work off for as long as they
+// come.
+TEST_F(tenant_change, requests_one_after_the_other_do_not_stop_the_periodic_work) {
+    auto& gateway = start_full();
+    targets.front()->load = "0,0,4,100";
+    ASSERT_TRUE(loop.run_until([&] { return gateway.board().medians_updated_at != time_point{}; }));
+    const auto before = gateway.board().medians_updated_at;
+    EXPECT_TRUE(loop.run_until(
+        [&] { return ask(gateway, "/open/x", ""), gateway.board().medians_updated_at != before; }, 10s));
+}
+
 // Guards against keys that anyone who may read the metrics can fetch.
 TEST_F(tenant_change, metrics_listener_does_not_serve_the_configuration) {
     auto& gateway = start_full();
