--- a/tests/failure/gateway_fleet.hpp
+++ b/tests/failure/gateway_fleet.hpp
@@ -64,6 +64,10 @@
     duration shortest_pause{};
     std::uint32_t pause_spread_ms = 1;
     int grace_period_s = 3;
+    nlohmann::json more_bounds = nlohmann::json::object(); ///< added to the settings of gateways
+    std::vector<nlohmann::json> tenants;                   ///< added to configurations
+    std::string request_fields;                            ///< lines added to the heads of requests
+    std::map<std::string, time_point> sent_at;             ///< by id of the request
     std::uint32_t sent = 0;
     std::uint32_t version = 0;
 
@@ -92,6 +96,9 @@
         if (++version % 2 == 0) {
             resources.push_back(route("r3", "/extra/", "idempotent"));
         }
+        for (const auto& it : tenants) {
+            resources.push_back(it);
+        }
         std::array<char, 16> text{};
         std::snprintf(text.data(), text.size(), "%08x", version);
         store.put("config", "main", {{"version", text.data()}, {"resources", std::move(resources)}});
@@ -108,18 +115,22 @@
     void add_gateway() { start(prepare_gateway()); }
 
     /// Writes the settings of a gateway that is not started.
-    fleet_gateway& prepare_gateway() {
+    /// @param store_address  of the store, or of a forwarder to it
+    fleet_gateway& prepare_gateway(const socket_address& store_address) {
         const auto pid = static_cast<unsigned>(getpid());
         auto& it = gateways.emplace_back();
         const auto vm = "vm-" + std::to_string(gateways.size());
         it.host = "127." + std::to_string(20 + pid % 200) + "." + std::to_string(pid / 200 % 250) + "." +
                   std::to_string(100 + gateways.size());
-        it.settings_file = folder.write(
-            vm + ".json", platform_settings(vm, it.host, store.address(), grace_period_s).dump());
+        auto settings = platform_settings(vm, it.host, store_address, grace_period_s);
+        settings["bounds"].update(more_bounds);
+        it.settings_file = folder.write(vm + ".json", settings.dump());
         it.log_file = folder.path(vm + ".log");
         return it;
     }
 
+    fleet_gateway& prepare_gateway() { return prepare_gateway(store.address()); }
+
     static void start(fleet_gateway& it) {
         it.process = std::move(*testbed::process::start(
             {ENDIVELEVER_BIN_DIR "/endivelever-gateway", {"--settings=" + it.settings_file}, it.log_file}));
@@ -212,6 +223,12 @@
         return true;
     }
 
+    /// Request with its body.
+    [[nodiscard]] std::string request_text(const std::string& id) const {
+        return "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " + id +
+               "\r\nX-Deadline-Ms: 6000\r\n" + request_fields + "Content-Length: 4\r\n\r\nbody";
+    }
+
     void play(keeping_caller& it) {
         if (it.connection == nullptr) {
             connect(it);
@@ -233,8 +250,8 @@
         if (it.open_id.empty() && boot_clock::now() >= it.next_at) {
             it.open_id = "id-" + std::to_string(++sent);
             it.sent_at = boot_clock::now();
-            it.connection->send_some("POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " +
-                                     it.open_id + "\r\nX-Deadline-Ms: 6000\r\nContent-Length: 4\r\n\r\nbody");
+            sent_at[it.open_id] = it.sent_at;
+            it.connection->send_some(request_text(it.open_id));
         }
     }
 
