--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -7,6 +7,10 @@
 // Requests from callers.
 http_server::handlers caller_handlers(gateway_board& board);
 
+/// Refuses the requests that were not sent to a server and whose key the configuration in force gives to
+/// another tenant or to none.
+void review_keys(gateway_board& board);
+
 /// Sends a completely received request to a server, or refuses it if no server can accept it.
 void dispatch(gateway_board& board, gateway_request& it);
 
@@ -113,9 +117,9 @@
 /// Treats a server as just started.
 void assume_cold(gateway_board& board, const gateway_service& service, server_view& view);
 /// Updates what the evacuations and the entries of its servers mean for the pool of a service.
-/// @param known_warm_up  remaining warm-up in the entries that were applied before
+/// @param known  entries that were applied before
 void update_server_uses(gateway_board& board, gateway_service& service,
-                        const std::map<server_id, duration>& known_warm_up);
+                        const std::map<server_id, listed_server>& known);
 
 // Quotas of tenants.
 /// True if the settings bound the requests of tenants and the configuration has tenants.
@@ -155,13 +159,18 @@
 void update_duties(gateway_board& board, time_point now);
 /// Requests configuration or server entries from a peer whose status shows newer ones.
 void pull_if_newer(gateway_board& board, const gateway_status_message& status);
+/// True for the paths of such requests.
+bool is_peer_path(std::string_view path);
 /// Responds to such a request. @return false if the path is none of them
 bool handle_peer_request(gateway_board& board, http_exchange& exchange);
 
 // Administration.
 http_server::handlers ready_handlers(gateway_board& board);
 http_server::handlers lookup_handlers(gateway_board& board);
+/// Serves metrics only: the configuration that peers request contains the keys of tenants.
 http_server::handlers metrics_handlers(gateway_board& board);
+/// Serves requests of peers, and metrics.
+http_server::handlers relay_handlers(gateway_board& board);
 
 // Periodic work.
 /// Ends requests whose deadline has passed, updates server states, hedges late requests and processes the
--- a/src/gateway/evacuation.cpp
+++ b/src/gateway/evacuation.cpp
@@ -36,6 +36,13 @@
                              warm_up_senders(limit));
 }
 
+/// True if an entry states anew how long its server stays cold. The time alone does not tell: each start of a
+/// server states the same one.
+bool is_new_statement(const listed_server& before, const listed_server& it) {
+    return before.address != it.address || before.start_ms != it.start_ms ||
+           before.statement != it.statement || before.warm_up_left != it.warm_up_left;
+}
+
 } // namespace
 
 bool tracks_evacuations(const gateway_board& board) {
@@ -98,17 +105,24 @@
 }
 
 void assume_cold(gateway_board& board, const gateway_service& service, server_view& view) {
-    note_cold_server(board, service, view, service.warm_up);
+    // The server may have stated a longer time.
+    const auto stated = view.warm_up_use.cold_until - boot_clock::now();
+    note_cold_server(board, service, view, std::max(service.warm_up, stated));
 }
 
 void update_server_uses(gateway_board& board, gateway_service& service,
-                        const std::map<server_id, duration>& known_warm_up) {
+                        const std::map<server_id, listed_server>& known) {
+    const auto now = boot_clock::now();
     for (auto& view : service.pool.servers) {
         view.evacuated = board.evacuations.domains.contains(view.listed.failure_domain);
-        const auto known = known_warm_up.find(view.listed.id);
-        if (known == known_warm_up.end() || known->second != view.listed.warm_up_left) {
+        const auto before = known.find(view.listed.id);
+        if (before == known.end() || is_new_statement(before->second, view.listed)) {
             note_cold_server(board, service, view, view.listed.warm_up_left);
         }
+        if (is_cold(view.warm_up_use, now)) {
+            // The members that are known may have changed.
+            view.warm_up_use.is_sender = uses_cold_server(board, view, service.warm_up_rate);
+        }
     }
 }
 
