Own scheduled connections and share one budget among all listeners

Cause: process_scheduled() cleared the mark of a connection before it called process(). If that call answered requests, the connection entered the list of the next round; if a send then failed, it was erased while the list held its pointer. Each connection that read no answers held about 54 KB, and nothing limited their sum. Four bodies of 40 MB exceeded memory_mb 260, since each attempt copied its body.

Change: - The list of scheduled connections shares ownership of them, so none is freed before its turn. Attempts share the body of their request.

The libmicrohttpd listener and the client do not have the same pattern: they keep ids or look connections up again, and they free nothing in the loops that hold pointers.

--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -15,6 +15,7 @@
 #include "endivelever/gateway/quota_state.hpp"
 #include "endivelever/gateway/request.hpp"
 #include "endivelever/gateway/settings.hpp"
+#include "endivelever/net/connection_budget.hpp"
 #include "endivelever/store/object_reflector.hpp"
 
 #include <deque>
@@ -122,6 +123,8 @@
     probe_budget probes;
     std::optional<graceful_stop> stop; ///< planned stop in progress
     buffer_budget response_memory;     ///< for responses that are held until they are complete
+    /// Connections and request bodies of callers, over all listeners.
+    std::shared_ptr<connection_budget> intake = std::make_shared<connection_budget>(intake_limits{});
 
     std::unique_ptr<http_client> server_http_client; ///< client for requests and probes
     std::unique_ptr<http_client> store_http_client;  ///< client for the object store
--- a/include/endivelever/gateway/request.hpp
+++ b/include/endivelever/gateway/request.hpp
@@ -47,7 +47,8 @@
     time_point token_expiry{};             ///< of the quota token that the request holds; default if none
     service_id service;
     std::string id;
-    std::string body;
+    std::shared_ptr<std::string> body; ///< shared with attempts; nullptr without a body
+    byte_count body_reserved;          ///< of the process's memory, until the request is removed
     bool has_body = false;
     time_point arrived{};
     duration prior_attempt_time{}; ///< time in earlier attempts of the caller, estimated from its deadline
--- a/include/endivelever/net/http_client.hpp
+++ b/include/endivelever/net/http_client.hpp
@@ -42,7 +42,8 @@
     http_headers headers;
     std::optional<std::uint64_t> content_length; ///< empty with `has_body` means chunked
     bool has_body = false;
-    std::string body; ///< whole body; used when on_read is not set
+    std::string body;                               ///< whole body; used when on_read is not set
+    std::shared_ptr<const std::string> shared_body; ///< whole body instead of `body`, not copied
     duration timeout = std::chrono::seconds(10);
     duration connect_timeout = std::chrono::seconds(1);
     /// Ends the transfer as `timeout` if no byte is sent or received for this long; 0 means no limit.
--- a/include/endivelever/net/http_server.hpp
+++ b/include/endivelever/net/http_server.hpp
@@ -3,6 +3,7 @@
 #include "endivelever/base/result.hpp"
 #include "endivelever/base/time.hpp"
 #include "endivelever/config/settings.hpp"
+#include "endivelever/net/connection_budget.hpp"
 #include "endivelever/net/http_header.hpp"
 
 #include <cstdint>
@@ -16,7 +17,8 @@
 
 namespace endivelever {
 
-/// Request in progress and its response. Owned by the server; valid until on_closed returns.
+/// Request in progress and its response. Owned by the server; valid until on_closed returns. Once the
+/// response is complete, target and headers may be empty.
 class http_exchange {
   public:
     virtual ~http_exchange() = default;
@@ -73,6 +75,9 @@
         /// Handles pipelined requests of a connection concurrently, using http-parser. Otherwise the requests
         /// of a connection are handled one after the other, using libmicrohttpd.
         bool concurrent_requests = false;
+        /// Shared by the listeners of a process; used by the concurrent server. Without one, connections have
+        /// no limits in common.
+        std::shared_ptr<connection_budget> budget = nullptr;
     };
 
     /// @return the server, or error [net.N] if the address cannot be bound
--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -5,12 +5,15 @@
 #include <nlohmann/json.hpp>
 #include <poll.h>
 #include <unistd.h>
+#include <utility>
 
 namespace endivelever {
 namespace {
 
 // A pipe that polls as writable takes this many bytes without blocking (PIPE_BUF).
 constexpr std::size_t max_line = 4096;
+constexpr std::size_t max_limited_kinds = 64;
+constexpr duration limited_interval = std::chrono::seconds(1);
 
 void append_number(std::string& out, const char* format, double value) {
     std::array<char, 32> buf{};
@@ -50,6 +53,22 @@
     return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::optional<std::int64_t> admit_line(event_log& log, std::string_view kind, time_point now) {
+    auto found = log.limited.find(kind);
+    if (found == log.limited.end()) {
+        const bool is_full = log.limited.size() >= max_limited_kinds;
+        found = log.limited.try_emplace(is_full ? std::string("other") : std::string(kind)).first;
+    }
+    auto& it = found->second;
+    if (it.written_at != time_point{} && now - it.written_at < limited_interval) {
+        ++it.omitted;
+        ++log.omitted;
+        return std::nullopt;
+    }
+    it.written_at = now;
+    return std::exchange(it.omitted, 0);
+}
+
 void write_event(event_log& log, std::string_view event, std::initializer_list<log_field> fields) {
     std::string line = "{\"t\":";
     append_number(line, "%.3f", static_cast<double>(wall_clock_us()) / 1e6);
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -78,6 +78,17 @@
     gauges["gateway_log_lines_dropped"] = static_cast<double>(board.log.dropped);
     gauges["gateway_response_memory_bytes"] = static_cast<double>(board.response_memory.used.value);
     gauges["gateway_response_memory_limit_bytes"] = static_cast<double>(board.response_memory.limit.value);
+    const auto& intake = *board.intake;
+    gauges["gateway_connections"] = static_cast<double>(intake.usage().connections);
+    gauges["gateway_connections_limit"] = static_cast<double>(intake.limits().connections);
+    gauges["gateway_connection_memory_bytes"] = static_cast<double>(intake.usage().connections_memory.value);
+    gauges["gateway_body_memory_bytes"] = static_cast<double>(intake.usage().bodies_memory.value);
+    gauges["gateway_intake_memory_limit_bytes"] = static_cast<double>(intake.limits().memory.value);
+    gauges["gateway_log_lines_omitted"] = static_cast<double>(board.log.omitted);
+    for (const auto cause : {close_cause::memory, close_cause::connections, close_cause::stalled}) {
+        const auto series = std::string("gateway_connections_closed_total{cause=\"") + name_of(cause) + "\"}";
+        counter(board.counters, series) = intake.closed(cause);
+    }
     if (board.conf.revocation_limit > duration::zero()) {
         gauges["gateway_currency_age_seconds"] = to_seconds(boot_clock::now() - board.currency.proven_at);
     }
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -330,7 +330,7 @@
     request.target = it.exchange->target();
     request.headers = make_request_headers(board, it, attempt, now);
     request.has_body = it.has_body;
-    request.body = it.body;
+    request.shared_body = it.body;
     request.timeout = it.deadline - now + transfer_margin;
     request.connect_timeout = connect_timeout;
     request.accepts_close_delimited = true;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -4,6 +4,8 @@
 #include "endivelever/net/datagram_socket.hpp"
 #include "endivelever/net/event_loop.hpp"
 
+#include <algorithm>
+#include <array>
 #include <ev.h>
 
 namespace endivelever {
@@ -22,28 +24,74 @@
 constexpr duration stop_check_interval = 100ms;
 // Some callers cache an address response for three times its lifetime.
 constexpr int address_ttl_factor = 3;
+// Also the number of connections that all other listeners may have together besides those of callers. They
+// come out of the descriptors that the settings reserve for connections to servers.
 constexpr std::uint32_t max_auxiliary_connections = 256;
 // Responses may hold 1/n of the memory. Strings that grow, send buffers and the state of servers and VMs take
 // the rest.
 constexpr std::uint64_t response_memory_divisor = 4;
+// Part of the memory for connections and request bodies, in percent. In a VM of 112 MB, the smallest, it
+// takes a body of 64 MB.
+constexpr std::uint64_t intake_memory_percent = 65;
+// What the process needs besides connections, bodies and responses: it starts with 14 MB. Of the rest, a part
+// goes to blocks that the allocator cannot use again at once.
+constexpr std::uint64_t base_memory = 16UL << 20U;
+constexpr std::uint64_t intake_rest_percent = 77;
 
-http_server::options caller_options(const gateway_settings& conf) {
-    http_server::options opts;
-    opts.max_connections = conf.max_connections;
-    opts.concurrent_requests = true;
-    return opts;
+byte_count intake_memory(byte_count memory) {
+    const auto rest = memory.value - std::min(memory.value, base_memory);
+    // 0 would mean no limit.
+    return byte_count{std::max<std::uint64_t>(
+        1, std::min(memory.value / 100 * intake_memory_percent, rest / 100 * intake_rest_percent))};
 }
 
-http_server::options auxiliary_options() {
+intake_limits make_intake_limits(const gateway_settings& conf) {
+    intake_limits limits;
+    limits.memory = intake_memory(conf.memory);
+    limits.connections = conf.max_connections + max_auxiliary_connections;
+    return limits;
+}
+
+http_server::options listener_options(const gateway_board& board, std::uint32_t max_connections) {
     http_server::options opts;
-    opts.max_connections = max_auxiliary_connections;
+    opts.max_connections = max_connections;
+    opts.concurrent_requests = true;
+    opts.budget = board.intake;
     return opts;
 }
 
+/// Logs connections that limits have closed, at most once a second.
+struct closed_connections_log {
+    std::array<std::uint64_t, close_cause_count> logged{};
+    time_point written_at{};
+
+    void update(gateway_board& board) {
+        const auto now = boot_clock::now();
+        std::array<std::uint64_t, close_cause_count> closed{};
+        for (std::size_t i = 0; i < closed.size(); ++i) {
+            closed.at(i) = board.intake->closed(static_cast<close_cause>(i));
+        }
+        if (closed == logged || now - written_at < 1s) {
+            return;
+        }
+        const auto since_logged = [&](close_cause cause) {
+            const auto i = static_cast<std::size_t>(cause);
+            return static_cast<std::int64_t>(closed.at(i) - logged.at(i));
+        };
+        write_event(board.log, "connections_closed",
+                    {{"memory", since_logged(close_cause::memory)},
+                     {"connections", since_logged(close_cause::connections)},
+                     {"stalled", since_logged(close_cause::stalled)}});
+        logged = closed;
+        written_at = now;
+    }
+};
+
 } // namespace
 
 struct gateway_process::state {
     gateway_board board;
+    closed_connections_log closed_log;
     std::unique_ptr<timer> review_timer;
     std::unique_ptr<timer> status_timer;
     std::unique_ptr<timer> store_timer;
@@ -65,19 +113,17 @@
         return {};
     };
     const auto& conf = board.conf;
-    error failure =
-        listen(board.caller_server, conf.caller_address, caller_options(conf), caller_handlers(board));
+    const auto auxiliary = listener_options(board, max_auxiliary_connections);
+    error failure = listen(board.caller_server, conf.caller_address,
+                           listener_options(board, conf.max_connections), caller_handlers(board));
     if (failure.id == 0) {
-        failure =
-            listen(board.readiness_server, conf.ready_address, auxiliary_options(), ready_handlers(board));
+        failure = listen(board.readiness_server, conf.ready_address, auxiliary, ready_handlers(board));
     }
     if (failure.id == 0) {
-        failure =
-            listen(board.lookup_server, conf.lookup_address, auxiliary_options(), lookup_handlers(board));
+        failure = listen(board.lookup_server, conf.lookup_address, auxiliary, lookup_handlers(board));
     }
     if (failure.id == 0) {
-        failure =
-            listen(board.relay_server, conf.relay_address, auxiliary_options(), metrics_handlers(board));
+        failure = listen(board.relay_server, conf.relay_address, auxiliary, metrics_handlers(board));
     }
     if (failure.id != 0) {
         return failure;
@@ -85,7 +131,7 @@
     if (!conf.metrics_address.empty()) {
         // Metrics are optional; requests are served without them.
         const auto ec =
-            listen(board.metrics_server, conf.metrics_address, auxiliary_options(), metrics_handlers(board));
+            listen(board.metrics_server, conf.metrics_address, auxiliary, metrics_handlers(board));
         if (ec.id != 0) {
             write_event(board.log, "metrics_unavailable", {{"cause", ec.message}});
         }
@@ -109,6 +155,7 @@
     review_timer->start(idle_review_interval);
     board.on_first_request = [this] { review_timer->start(review_interval); };
     status_timer = std::make_unique<timer>(board.loop, [this] {
+        closed_log.update(board);
         send_status(board, false);
         update_watches(board);
         check_store(board, boot_clock::now());
@@ -158,6 +205,7 @@
     board.loop = loop;
     board.random = make_random_source();
     board.response_memory.limit = byte_count{board.conf.memory.value / response_memory_divisor};
+    board.intake = std::make_shared<connection_budget>(make_intake_limits(board.conf));
     board.own_incarnation = incarnation{static_cast<std::uint64_t>(wall_clock_us())};
     board.log.vm = board.conf.vm.text;
     board.server_http_client = std::make_unique<http_client>(loop, 0);
--- a/src/gateway/intake.cpp
+++ b/src/gateway/intake.cpp
@@ -18,6 +18,9 @@
 constexpr duration unproven_retry_after = 50ms;
 // Precision of the deadlines that callers send; smaller differences do not indicate a retry.
 constexpr duration deadline_precision = 10ms;
+// Time in which the bodies that fill the memory are passed on.
+constexpr duration body_retry_after = 500ms;
+constexpr std::uint64_t first_body_capacity = 16UL * 1024UL;
 constexpr std::size_t max_tracked_routes = 20'000;
 // Longer deadlines are clamped: every configuration ends requests earlier.
 constexpr std::int64_t max_deadline_ms = 600'000;
@@ -94,6 +97,24 @@
     return it.tenant != nullptr;
 }
 
+/// Extends the memory for the body of a request.
+/// @return false if the body does not fit
+bool reserve_body(gateway_board& board, gateway_request& it, std::uint64_t size) {
+    if (size <= it.body_reserved.value) {
+        return true;
+    }
+    if (!board.intake->reserve_body(byte_count{size - it.body_reserved.value}, it.body_reserved)) {
+        return false;
+    }
+    it.body_reserved = byte_count{size};
+    return true;
+}
+
+void refuse_body(gateway_board& board, gateway_request& it) {
+    count(board, "bodies_refused_total");
+    respond_with_error(board, it, {status_unavailable, "no memory for the request body", body_retry_after});
+}
+
 void on_request_head(gateway_board& board, http_exchange& exchange) {
     auto& it = add_request(board, exchange);
     if (!has_state(board)) {
@@ -126,6 +147,10 @@
         respond_with_error(board, it, {status_too_large, "request body is larger than allowed", {}});
         return;
     }
+    if (!reserve_body(board, it, length.value_or(first_body_capacity))) {
+        refuse_body(board, it);
+        return;
+    }
     if (it.matched_route->large_response) {
         exchange.hold_next_requests();
     }
@@ -141,11 +166,26 @@
     if (it == nullptr || it->matched_route == nullptr) {
         return;
     }
-    if (it->body.size() + data.size() > it->table->config.limits.max_body.value) {
+    const auto max_body = it->table->config.limits.max_body.value;
+    if (it->body == nullptr) {
+        // The reservation for a body of known length is its length, so that it never has to be copied.
+        it->body = std::make_shared<std::string>();
+        it->body->reserve(it->body_reserved.value);
+    }
+    const auto size = it->body->size() + data.size();
+    if (size > max_body) {
         respond_with_error(board, *it, {status_too_large, "request body is larger than allowed", {}});
         return;
     }
-    it->body.append(data);
+    if (size > it->body_reserved.value) {
+        const auto doubled = std::min(max_body, std::max(size, 2 * it->body_reserved.value));
+        if (!reserve_body(board, *it, doubled) && !reserve_body(board, *it, size)) {
+            refuse_body(board, *it);
+            return;
+        }
+        it->body->reserve(it->body_reserved.value);
+    }
+    it->body->append(data);
 }
 
 void on_request_end(gateway_board& board, http_exchange& exchange) {
--- a/src/gateway/respond.cpp
+++ b/src/gateway/respond.cpp
@@ -98,21 +98,28 @@
     const auto proofs = proofs_of(it);
     const auto status = response_status::permit(response.status, proofs);
     record_response_head(board, it, status, "gateway");
-    write_event(
-        board.log, "own_response",
-        {{"request", it.id},
-         {"status", static_cast<std::int64_t>(status.value())},
-         {"reason", response.reason},
-         {"service", it.service.text},
-         {"tenant", it.tenant == nullptr ? std::string_view("") : std::string_view(it.tenant->id.text)},
-         {"route",
-          it.matched_route == nullptr ? std::string_view("") : std::string_view(it.matched_route->id.text)},
-         {"attempts", static_cast<std::int64_t>(it.attempts.size())},
-         {"may_have_run", may_have_run(proofs)},
-         {"routing_version",
-          it.table == nullptr ? std::int64_t{0} : static_cast<std::int64_t>(it.table->config.version.value)},
-         {"retry_after_ms", to_milliseconds(response.retry_after)},
-         {"age_ms", to_milliseconds(boot_clock::now() - it.arrived)}});
+    // Requests that were sent to servers are limited by these, and each of them is logged.
+    const auto omitted = it.attempts.empty() ? admit_line(board.log, response.reason, boot_clock::now())
+                                             : std::optional<std::int64_t>(0);
+    if (omitted) {
+        write_event(
+            board.log, "own_response",
+            {{"request", it.id},
+             {"status", static_cast<std::int64_t>(status.value())},
+             {"reason", response.reason},
+             {"service", it.service.text},
+             {"tenant", it.tenant == nullptr ? std::string_view("") : std::string_view(it.tenant->id.text)},
+             {"route", it.matched_route == nullptr ? std::string_view("")
+                                                   : std::string_view(it.matched_route->id.text)},
+             {"attempts", static_cast<std::int64_t>(it.attempts.size())},
+             {"may_have_run", may_have_run(proofs)},
+             {"routing_version", it.table == nullptr
+                                     ? std::int64_t{0}
+                                     : static_cast<std::int64_t>(it.table->config.version.value)},
+             {"retry_after_ms", to_milliseconds(response.retry_after)},
+             {"omitted_lines", *omitted},
+             {"age_ms", to_milliseconds(boot_clock::now() - it.arrived)}});
+    }
     if (it.attempts.empty()) {
         refund_token(board, it);
     }
@@ -188,6 +195,7 @@
     if (it.exchange != nullptr) {
         it.exchange->context = nullptr;
     }
+    board.intake->release_body(it.body_reserved);
     board.requests.erase(it.number);
 }
 
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -179,9 +179,10 @@
         curl_easy_setopt(easy, CURLOPT_READDATA, &it);
         return;
     }
+    const auto& body = it.request.shared_body != nullptr ? *it.request.shared_body : it.request.body;
     curl_easy_setopt(easy, CURLOPT_POST, 1L);
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(it.request.body.size()));
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, it.request.body.data());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.data());
 }
 
 long whole_milliseconds(duration value) {
--- a/src/net/pipelined_connection.cpp
+++ b/src/net/pipelined_connection.cpp
@@ -18,7 +18,10 @@
 // Closing earlier could reset the connection before the caller has read the response.
 constexpr duration linger_limit = 2s;
 // Input that is read while no request may be parsed; further input stays in the socket.
-constexpr std::size_t max_unparsed_input = 16UL * 1024UL;
+constexpr std::size_t max_unparsed_input = 4UL * 1024UL;
+// Bytes read at once outside of a body. Most heads are shorter; what is left over is kept until it can be
+// parsed.
+constexpr std::size_t head_read_size = 4UL * 1024UL;
 constexpr int keep_parsing = 0;
 constexpr int stop_parsing = -1;
 
@@ -58,15 +61,20 @@
     m_readable.data = this;
     m_writable.data = this;
     ev_io_start(m_core.loop, &m_readable);
+    m_core.budget->join(*this);
 }
 
 pipelined_connection::~pipelined_connection() {
+    m_core.budget->leave(*this);
     ev_io_stop(m_core.loop, &m_readable);
     ev_io_stop(m_core.loop, &m_writable);
     close(m_fd);
 }
 
 void pipelined_connection::read_available() {
+    if (m_ended) {
+        return;
+    }
     if (m_closed_idle) {
         // Either the caller closed as well, or a request crossed the close. It stays unread, so that close()
         // resets the connection and the caller knows that the request was not handled.
@@ -74,21 +82,42 @@
         schedule_processing();
         return;
     }
+    if (m_reads_requests && m_receiving == nullptr && !m_core.budget->has_free_memory()) {
+        // Connections are processed later in this loop iteration. If the ones that end then free too little,
+        // this one is read again in the next iteration.
+        schedule_processing();
+        return;
+    }
     auto& buf = m_core.read_buffer;
-    const auto n = recv(m_fd, buf.data(), buf.size(), 0);
+    const auto n = recv(m_fd, buf.data(), receive_size(), 0);
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
     }
-    m_last_transfer = boot_clock::now();
+    note_transfer(static_cast<std::size_t>(std::max<ssize_t>(0, n)));
     if (n <= 0) {
         m_ended = true;
     } else if (m_reads_requests) {
         pause_if_needed();
         parse({buf.data(), static_cast<std::size_t>(n)});
+        charge_memory();
     }
     schedule_processing();
 }
 
+/// Bodies are passed on at once. Other input may have to be kept until earlier requests have ended.
+std::size_t pipelined_connection::receive_size() const {
+    if (m_receiving != nullptr || !m_reads_requests) {
+        return m_core.read_buffer.size();
+    }
+    const auto kept = std::min(m_unparsed_input.size(), head_read_size - 1);
+    return std::min(head_read_size - kept, m_core.read_buffer.size());
+}
+
+void pipelined_connection::note_transfer(std::size_t n) {
+    m_last_transfer = boot_clock::now();
+    m_progress.bytes += n;
+}
+
 http_parser_settings pipelined_connection::parser_settings() {
     http_parser_settings on;
     http_parser_settings_init(&on);
@@ -129,6 +158,7 @@
         return;
     }
     if (HTTP_PARSER_ERRNO(&m_parser) == HPE_PAUSED) {
+        m_unparsed_input.reserve(m_unparsed_input.size() + data.size() - n);
         m_unparsed_input.append(data.substr(n));
     } else if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK) {
         reject_input();
@@ -200,6 +230,7 @@
 }
 
 int pipelined_connection::on_message_complete() {
+    m_progress.open = m_progress.open && m_write_blocked; // a complete request is progress, however short
     m_close_after_last = m_close_after_last || m_core.draining || http_should_keep_alive(&m_parser) == 0;
     m_reads_requests = !m_close_after_last;
     if (auto* it = std::exchange(m_receiving, nullptr)) {
@@ -218,13 +249,16 @@
     }
     // Applies backpressure to a caller that does not read its responses.
     std::uint64_t unsent = 0;
+    std::uint64_t held = 0;
     for (const auto& it : m_exchanges) {
         if (it->holds_next_requests()) {
             return true;
         }
         unsent += it->buffered_bytes();
+        held += it->held_bytes();
     }
-    return unsent > m_core.opts.response_buffer.value;
+    return unsent > m_core.opts.response_buffer.value ||
+           !reads_requests(m_core.budget->limits(), byte_count{held});
 }
 
 void pipelined_connection::pause_if_needed() {
@@ -269,7 +303,7 @@
         }
         const auto n = send(m_fd, data.data(), data.size(), MSG_NOSIGNAL);
         if (n > 0) {
-            m_last_transfer = boot_clock::now();
+            note_transfer(static_cast<std::size_t>(n));
             it.mark_sent(static_cast<std::size_t>(n));
         } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
             m_write_blocked = true;
@@ -310,6 +344,9 @@
         }
         const auto ended = std::move(m_exchanges.front());
         m_exchanges.pop_front();
+        if (m_exchanges.empty()) {
+            m_progress.open = false; // whatever the caller waited for is sent
+        }
         notify_closed(*ended, !ended->is_rejected());
     }
     if (m_exchanges.empty() && m_close_after_last && !m_reads_requests) {
@@ -321,6 +358,7 @@
 void pipelined_connection::start_lingering_close() {
     if (!m_lingering) {
         m_lingering = true;
+        m_linger_begin = boot_clock::now();
         m_unparsed_input.clear();
         shutdown(m_fd, SHUT_WR);
     }
@@ -343,26 +381,54 @@
 }
 
 bool pipelined_connection::process() {
-    // A completed response may allow further requests to be parsed.
-    while (!m_ended) {
+    if (!m_ended) {
         send_responses();
-        if (m_ended || should_pause_input() || HTTP_PARSER_ERRNO(&m_parser) != HPE_PAUSED) {
-            break;
-        }
+    }
+    // A completed response may allow further requests to be parsed.
+    if (!m_ended && HTTP_PARSER_ERRNO(&m_parser) == HPE_PAUSED && !should_pause_input()) {
         http_parser_pause(&m_parser, 0);
         if (!m_unparsed_input.empty()) { // http_parser treats empty input as end of file
             parse(std::exchange(m_unparsed_input, {}));
+            schedule_processing();
         }
     }
-    if (!m_ended) {
-        update_watchers();
-        return true;
+    if (m_ended) {
+        end_exchanges();
+        return false;
     }
-    processing_scheduled = true; // prevents further scheduling
-    for (auto& it : m_exchanges) {
+    charge_memory();
+    update_watchers();
+    return true;
+}
+
+void pipelined_connection::end_exchanges() {
+    ev_io_stop(m_core.loop, &m_readable);
+    ev_io_stop(m_core.loop, &m_writable);
+    m_receiving = nullptr;
+    for (const auto& it : std::exchange(m_exchanges, {})) {
         notify_closed(*it, false);
     }
-    return false;
+}
+
+std::size_t pipelined_connection::held_bytes() const {
+    auto n = sizeof *this + m_unparsed_input.capacity() + (m_in_head ? m_head_size : 0);
+    for (const auto& it : m_exchanges) {
+        n += it->held_bytes();
+    }
+    return n;
+}
+
+bool pipelined_connection::waits_for_caller() const {
+    return m_exchanges.empty() || m_receiving != nullptr || m_write_blocked;
+}
+
+void pipelined_connection::charge_memory() {
+    m_core.budget->charge(*this, byte_count{held_bytes()});
+}
+
+void pipelined_connection::close_by_limit() {
+    m_ended = true;
+    schedule_processing();
 }
 
 void pipelined_connection::update_watchers() {
@@ -382,9 +448,18 @@
 }
 
 void pipelined_connection::check_timeout(time_point now) {
-    const bool waits_for_caller = m_exchanges.empty() || m_receiving != nullptr || m_write_blocked;
+    const auto& limits = m_core.budget->limits();
     const auto limit = m_lingering ? linger_limit : m_core.opts.idle_timeout;
-    if (waits_for_caller && now - m_last_transfer > limit) {
+    const bool is_idle = waits_for_caller() && now - m_last_transfer > limit;
+    // A caller that goes on sending after the last response is not waited for without end.
+    const bool lingers_too_long = m_lingering && now - m_linger_begin > limits.progress_timeout;
+    const bool is_receiving = m_receiving != nullptr && !m_receiving->is_paused();
+    const bool waits_for_bytes = !m_lingering && (m_in_head || is_receiving || m_write_blocked);
+    const bool stalled = has_stalled(m_progress, limits, waits_for_bytes, now);
+    if (stalled || lingers_too_long) {
+        m_core.budget->count_closed(close_cause::stalled);
+    }
+    if (is_idle || stalled || lingers_too_long) {
         m_ended = true;
         schedule_processing();
     }
--- a/src/net/pipelined_exchange.cpp
+++ b/src/net/pipelined_exchange.cpp
@@ -23,10 +23,22 @@
     out.append(name).append(": ").append(value).append("\r\n");
 }
 
+// Of the allocator, for the blocks of one exchange.
+constexpr std::size_t allocation_overhead = 128;
+
+std::size_t memory_of(const request_head& head) {
+    auto n = allocation_overhead + head.target.capacity() + head.headers.capacity() * sizeof(http_header);
+    for (const auto& it : head.headers) {
+        n += it.name.capacity() + it.value.capacity();
+    }
+    return n;
+}
+
 } // namespace
 
 pipelined_exchange::pipelined_exchange(pipelined_connection& connection, request_head head)
-    : m_connection(connection), m_head(std::move(head)), m_length(find_body_length(m_head.headers)) {}
+    : m_connection(connection), m_head(std::move(head)), m_head_bytes(sizeof *this + memory_of(m_head)),
+      m_length(find_body_length(m_head.headers)) {}
 
 void pipelined_exchange::resume_body() {
     m_paused = false;
@@ -129,6 +141,10 @@
         m_output.append("0\r\n\r\n");
     }
     m_finished = true;
+    // The response may wait for a caller that does not read; the request is not needed any more.
+    m_head.target = {};
+    m_head.headers = {};
+    m_head_bytes = sizeof *this + allocation_overhead;
     m_connection.schedule_processing();
 }
 
--- a/src/net/pipelined_exchange.hpp
+++ b/src/net/pipelined_exchange.hpp
@@ -61,6 +61,8 @@
     void mark_sent(std::size_t n);
     /// Number of buffered response bytes.
     [[nodiscard]] std::size_t buffered_bytes() const { return m_output.size() - m_output_begin; }
+    /// Memory that this request and its response hold.
+    [[nodiscard]] std::size_t held_bytes() const { return m_head_bytes + m_output.capacity(); }
     [[nodiscard]] bool is_paused() const { return m_paused && !m_response_begun; }
     [[nodiscard]] bool is_sent() const {
         return m_finished && may_send() && m_output_begin == m_output.size();
@@ -80,6 +82,7 @@
 
     pipelined_connection& m_connection;
     request_head m_head;
+    std::size_t m_head_bytes;              ///< memory of the exchange and its head
     std::optional<std::uint64_t> m_length; ///< of the request body
     std::string m_output;                  ///< encoded response; bytes before m_output_begin were sent
     std::size_t m_output_begin = 0;
