--- a/include/endivelever/decide/wait_queue.hpp
+++ b/include/endivelever/decide/wait_queue.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace endivelever {
@@ -36,6 +37,9 @@
     std::uint32_t probes_pending = 0; ///< load probes not answered yet
     time_point last_probe_at{};       ///< last load probe
     bool probing_done = false;        ///< probing is over: any server with a free slot is acceptable
+    duration expected_work{};         ///< usual time in a slot of a server; 0 if not known
+    duration work_spread{};           ///< mean deviation of that time
+    std::string tenant;               ///< empty without a tenant
 };
 
 /// A server whose load report has just arrived.
@@ -61,6 +65,9 @@
 std::optional<std::size_t> select_request(const wait_queue& queue, const server_offer& offer,
                                           duration typical_time, time_point now);
 
+/// True if a request may be sent to the server of an offer now.
+bool can_use(const waiting_request& it, const server_offer& offer, duration typical_time, time_point now);
+
 /// Finds the requests to refuse now: those that can no longer meet their latency target while others in the
 /// queue still can. Retries, hedges and requests that the caller already attempted before are kept.
 std::vector<request_number> requests_to_refuse(const wait_queue& queue, duration typical_time,
--- a/src/decide/wait_queue.cpp
+++ b/src/decide/wait_queue.cpp
@@ -17,6 +17,8 @@
     return now - it.arrived + needed <= it.latency_target;
 }
 
+} // namespace
+
 bool can_use(const waiting_request& it, const server_offer& offer, duration typical_time, time_point now) {
     if (std::find(it.tried.begin(), it.tried.end(), offer.server) != it.tried.end()) {
         return false;
@@ -39,8 +41,6 @@
            now + offer.predicted_latency <= it.deadline;
 }
 
-} // namespace
-
 std::optional<std::size_t> select_request(const wait_queue& queue, const server_offer& offer,
                                           duration typical_time, time_point now) {
     if (!offer.usable) {
