Refuse early and order by work when requests exceed the room

Refusals by reason and priority, queue wait and the state are metrics.

The room of VMs with few slots was underestimated, as sends that emptied the queue did not count; they do now. 15 % instead of 25 % of the room is promised to returning callers.

--- a/include/endivelever/decide/room.hpp
+++ b/include/endivelever/decide/room.hpp
@@ -48,14 +48,15 @@
 
 /// What one service has done for its waiting requests.
 struct room_state {
-    time_point reviewed_at{};       ///< default before the first review
-    time_point shares_updated_at{}; ///< when the shares of the tenants were last computed
-    time_point first_share_at{};    ///< when they were first computed
-    bool exceeded = false;          ///< as in room_forecast, at the last review
-    bool had_backlog = false;       ///< requests waited for a slot at the last review
-    double sent_since_review = 0.0;
-    decayed_sum backlog_time; ///< seconds during which requests waited for a slot
-    decayed_sum backlog_sent; ///< seconds of work sent to servers in that time
+    time_point reviewed_at{};          ///< default before the first review
+    time_point shares_updated_at{};    ///< when the shares of the tenants were last computed
+    time_point first_share_at{};       ///< when they were first computed
+    bool exceeded = false;             ///< as in room_forecast, at the last review
+    bool had_backlog = false;          ///< requests waited for a slot at the last review
+    double sent_since_review = 0.0;    ///< seconds of work
+    double drained_since_review = 0.0; ///< part of it that waited at the last review
+    decayed_sum backlog_time;          ///< seconds during which requests waited for a slot
+    decayed_sum backlog_sent;          ///< seconds of work sent to servers in that time
     std::map<std::uint32_t, rank_use> ranks;
     std::map<std::uint32_t, std::map<std::string, tenant_use>> tenants;
 };
--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -10,6 +10,7 @@
 #include "endivelever/decide/peer_table.hpp"
 #include "endivelever/decide/probe_choice.hpp"
 #include "endivelever/decide/retry.hpp"
+#include "endivelever/decide/room.hpp"
 #include "endivelever/decide/server_registry.hpp"
 #include "endivelever/gateway/dialect.hpp"
 #include "endivelever/gateway/quota_state.hpp"
@@ -34,6 +35,9 @@
     retry_budget retries{0.0, 0.0};
     histogram response_time; ///< from dispatch to the complete response, successes only
     wait_queue waiting;
+    room_state room;
+    std::unordered_map<route_id, work_estimate> work; ///< of requests, by route
+    histogram queue_wait;                             ///< from insertion into the queue to dispatch
     time_point last_probe_report_at{}; ///< last load report in a probe response of any of its servers
     duration median_response_time{};   ///< median of response_time; 0 until there are enough responses
     duration default_response_time{};  ///< used until the median is known, from the routes' latency targets
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -25,6 +25,32 @@
 void cancel_attempts(gateway_board& board, gateway_request& it);
 
 // Assignment of requests to servers.
+/// A load report of this age still matches the current speed of a server in nine of ten cases.
+constexpr duration recent_report_age = std::chrono::milliseconds(25);
+/// A load report of this age makes a probe unnecessary.
+constexpr duration fresh_report_age = std::chrono::milliseconds(10);
+/// @return usual response time of a service; an assumption until there are enough responses
+duration expected_response_time(const gateway_service& service);
+/// Why a request cannot wait for a server.
+struct queue_refusal {
+    const char* reason = "";
+    duration retry_after{};
+};
+/// @return why a request with this deadline cannot wait for a server of the service, or nothing if it can
+std::optional<queue_refusal> find_queue_refusal(const gateway_board& board, const gateway_service& service,
+                                                time_point deadline, time_point now, random_source& random);
+/// @return the entry of a request in the queue of a service
+waiting_request make_waiting(const gateway_service& service, const gateway_request& it,
+                             attempt_purpose purpose, time_point now);
+/// @return the server as it is offered to waiting requests, from its last load report
+server_offer make_offer(const gateway_service& service, const server_view& view, time_point now);
+/// @return room of a service for the requests of this VM
+room_forecast room_of(const gateway_service& service, time_point now);
+/// @return the servers whose load report is at most `age` old, in order of predicted response time
+std::vector<server_index> recently_reported(const gateway_service& service, duration age, time_point now);
+/// @return position in the queue of the request to send to a server now, or nothing
+std::optional<std::size_t> select_waiting(const gateway_service& service, const server_view& view,
+                                          time_point now);
 /// Queues a request until a server with a free slot is found, and probes some servers for their load.
 void enqueue_request(gateway_board& board, gateway_request& it, attempt_purpose purpose);
 /// Refuses requests that are no longer in the queue of any service.
--- a/src/decide/room.cpp
+++ b/src/decide/room.cpp
@@ -29,12 +29,14 @@
 constexpr double exceeded_share = 0.5;
 constexpr double exceeded_end_share = 0.2;
 // Part of a rank's room that is promised to callers who return; the rest stays with new requests.
-constexpr double return_share = 0.25;
+constexpr double return_share = 0.15;
 // Shortest time in which a caller can return and find another state of the servers.
 constexpr duration min_return = 50ms;
 constexpr duration max_return = 10s;
 // Keeps forecasts finite for work that others displace.
 constexpr double min_share = 0.01;
+// A longer time between reviews is a pause of the process, not a wait for slots.
+constexpr duration max_review_period = 100ms;
 constexpr duration share_interval = 100ms;
 // A tenant is over its share if that is no chance: by more than this many standard deviations.
 constexpr double chance_deviations = 3.0;
@@ -241,6 +243,7 @@
     const double work = to_seconds(work_of(it));
     add(state.ranks[it.rank].sent, work, rate_period, now);
     state.sent_since_review += work;
+    state.drained_since_review += it.queued_at <= state.reviewed_at ? work : 0.0;
     if (it.purpose == attempt_purpose::first) {
         if (auto* tenant = add_tenant_use(state, it)) {
             add(tenant->served, 1.0, tenant_period, now);
@@ -252,13 +255,18 @@
     const bool backlog = std::any_of(queue.begin(), queue.end(), [](const waiting_request& it) {
         return it.probing_done && it.purpose == attempt_purpose::first;
     });
-    if (state.had_backlog && backlog && state.reviewed_at != time_point{}) {
-        add(state.backlog_time, to_seconds(now - state.reviewed_at), rate_period, now);
-        add(state.backlog_sent, state.sent_since_review, rate_period, now);
+    if (state.had_backlog) {
+        // If the queue became empty meanwhile, later requests met free slots and show nothing of the room.
+        const double part = backlog ? 1.0 : 0.5;
+        const auto period = std::min<duration>(max_review_period, now - state.reviewed_at);
+        add(state.backlog_time, part * to_seconds(period), rate_period, now);
+        add(state.backlog_sent, backlog ? state.sent_since_review : state.drained_since_review, rate_period,
+            now);
     }
     state.had_backlog = backlog;
     state.reviewed_at = now;
     state.sent_since_review = 0.0;
+    state.drained_since_review = 0.0;
     const double waited = value_now(state.backlog_time, rate_period, now) / to_seconds(rate_period);
     state.exceeded = waited > (state.exceeded ? exceeded_end_share : exceeded_share);
     if (now - state.shares_updated_at < share_interval) {
@@ -329,8 +337,11 @@
         const double rate = room.work_per_second * room_share(state, room, it, now);
         duration starts_in{};
         if (i >= room.free_slots) {
-            ahead += to_seconds(work_of(it));
-            starts_in = rate > 0.0 ? std::min<duration>(max_return, from_milliseconds(1000.0 * ahead / rate))
+            // A slot becomes free after half of the time that a request takes, on average.
+            const double own = to_seconds(work_of(it));
+            const double before = ahead + own / 2;
+            ahead += own;
+            starts_in = rate > 0.0 ? std::min<duration>(max_return, from_milliseconds(1000.0 * before / rate))
                                    : max_return;
         }
         plan.push_back({order[i].second, starts_in});
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -88,6 +88,11 @@
     for (const auto& it : board.services) {
         const auto label = "service=\"" + it.first.text + "\",";
         set_quantiles(board.counters, "gateway_server_seconds", label, it.second.response_time);
+        set_quantiles(board.counters, "gateway_queue_wait_seconds", label, it.second.queue_wait);
+        gauges["gateway_waiting_requests{service=\"" + it.first.text + "\"}"] =
+            static_cast<double>(it.second.waiting.size());
+        gauges["gateway_room_exceeded{service=\"" + it.first.text + "\"}"] =
+            it.second.room.exceeded ? 1.0 : 0.0;
         gauges["gateway_retry_tokens{service=\"" + it.first.text + "\"}"] = it.second.retries.tokens;
     }
     return exposition_text(board.counters);
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -18,6 +18,8 @@
 // the window over all VMs in which the limit is measured.
 constexpr double used_budget_share = 0.7;
 constexpr unsigned min_server_error_status = 500;
+// Work of requests to further routes is taken to be that of the service.
+constexpr std::size_t max_learned_routes = 20'000;
 // The server that was replaced is out of use at once, so the next attempt meets another one.
 constexpr duration replaced_retry_after = 100ms;
 
@@ -76,6 +78,9 @@
             if (now <= it.deadline) {
                 // A later one was read late by this process, and says nothing about the server.
                 record(service.response_time, now - attempt.started);
+                if (service.work.size() < max_learned_routes || service.work.contains(it.matched_route->id)) {
+                    learn_work(service.work[it.matched_route->id], now - attempt.started);
+                }
             }
             service.reports_load = attempt.report.has_value();
             remove_waiting(service.waiting, it.number);
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -19,21 +19,11 @@
 // If no server of a service has answered a probe for this long, servers are chosen by the load reports of
 // earlier responses.
 constexpr duration probe_silence_limit = 40ms;
-// A load report of this age still matches the current speed of a server in nine of ten cases.
-constexpr duration recent_report_age = 25ms;
-// A load report of this age makes a probe unnecessary.
-constexpr duration fresh_report_age = 10ms;
 constexpr duration min_retry_after = 100ms;
 constexpr duration max_retry_after = 10s;
 constexpr const char* stopping_reason = "this VM is stopping";
-
-duration expected_response_time(const gateway_service& service) {
-    if (service.median_response_time > duration::zero()) {
-        return service.median_response_time;
-    }
-    return service.default_response_time > duration::zero() ? service.default_response_time
-                                                            : fallback_response_time;
-}
+constexpr const char* no_server_reason = "no server can take the request";
+constexpr const char* no_room_reason = "servers have no room in time, the request has not run";
 
 const routed_service* find_service_config(const gateway_board& board, const service_id& id) {
     const auto& services = board.routes->config.services;
@@ -42,23 +32,32 @@
     return found == services.end() ? nullptr : &*found;
 }
 
-server_offer make_offer(const gateway_service& service, const server_view& view, time_point now) {
-    server_offer offer;
-    offer.server = view.listed.id;
-    offer.in_local_domain = view.listed.failure_domain == service.pool.own_domain;
-    const auto present = adjusted_report(view);
-    offer.usable = may_use(view, now) && view.state != server_state::ejected &&
-                   view.in_flight.size() < view.connection_share;
-    offer.has_free_slot = has_room(present, view.slots);
-    offer.has_spare_capacity = is_uncontended(present, view.slots);
-    offer.predicted_latency = predicted_time(present, view.slots, expected_response_time(service));
-    return offer;
+/// Slots that recent load reports show as free.
+std::uint32_t count_free_slots(const gateway_service& service, time_point now) {
+    std::uint32_t n = 0;
+    for (const auto& view : service.pool.servers) {
+        if (now - view.reported_at <= recent_report_age && make_offer(service, view, now).usable) {
+            const auto present = adjusted_report(view);
+            const auto used = present.running + present.queued;
+            n += view.slots > used ? view.slots - used : 0;
+        }
+    }
+    return n;
+}
+
+void count_refusal(gateway_board& board, const char* reason, std::uint32_t rank) {
+    std::string series = "queue_refusals_total{reason=\"";
+    series.append(reason).append("\",priority=\"").append(std::to_string(rank)).append("\"}");
+    count(board, series);
 }
 
 /// Sends the request at `position` of the wait queue to a server.
 void dispatch_waiting(gateway_board& board, gateway_service& service, std::size_t position,
                       server_view& view) {
+    const auto now = boot_clock::now();
     const auto number = service.waiting[position].request;
+    note_sent(service.room, service.waiting[position], now);
+    record(service.queue_wait, now - service.waiting[position].queued_at);
     service.waiting.erase(service.waiting.begin() + static_cast<std::ptrdiff_t>(position));
     const auto found = board.requests.find(number);
     if (found != board.requests.end() && found->second->exchange != nullptr) {
@@ -178,15 +177,15 @@
 
 /// @return when a caller should try again: after the first server takes a request, spread so that callers do
 /// not all return at that moment
-duration retry_after_allowance(gateway_board& board, const gateway_service& service,
-                               const std::vector<server_id>& excluded, time_point now) {
+duration retry_after_allowance(const gateway_service& service, const std::vector<server_id>& excluded,
+                               time_point now, random_source& random) {
     const auto at = first_request_at(service.pool, excluded, now);
     if (at <= now || at == time_point::max()) {
         return min_retry_after;
     }
     const auto wait = std::clamp<duration>(at - now, min_retry_after, max_retry_after);
-    return wait + duration(static_cast<duration::rep>(random_unit(board.random) *
-                                                      static_cast<double>(wait.count())));
+    return wait +
+           duration(static_cast<duration::rep>(random_unit(random) * static_cast<double>(wait.count())));
 }
 
 void dispatch_without_probe(gateway_board& board, gateway_service& service, std::size_t position) {
@@ -204,8 +203,8 @@
     service.waiting.erase(service.waiting.begin() + static_cast<std::ptrdiff_t>(position));
     const auto found = board.requests.find(it.request);
     if (found != board.requests.end()) {
-        fail_unassigned(board, *found->second, it.purpose, "no server can take the request",
-                        retry_after_allowance(board, service, it.tried, now));
+        fail_unassigned(board, *found->second, it.purpose, no_server_reason,
+                        retry_after_allowance(service, it.tried, now, board.random));
     }
 }
 
@@ -226,15 +225,30 @@
         remove_waiting(service.waiting, number);
         const auto found = board.requests.find(number);
         if (found != board.requests.end()) {
+            count_refusal(board, "overdue", found->second->rank);
             fail_unassigned(board, *found->second, attempt_purpose::first, "servers are full", expected);
         }
     }
 }
 
+/// Refuses requests that would not finish in time, if the work that waits exceeds the room.
+void refuse_without_room(gateway_board& board, gateway_service& service, time_point now) {
+    for (const auto& it :
+         refuse_for_room(service.waiting, service.room, room_of(service, now), now, board.random)) {
+        remove_waiting(service.waiting, it.request);
+        const auto found = board.requests.find(it.request);
+        if (found != board.requests.end()) {
+            count_refusal(board, to_string(it.reason), it.rank);
+            fail_unassigned(board, *found->second, attempt_purpose::first, no_room_reason, it.retry_after);
+        }
+    }
+}
+
 /// Refuses the waiting requests for which `is_unservable` is true.
+/// @param label  the reason in metrics
 template <typename Condition>
 void refuse_if(gateway_board& board, gateway_service& service, const Condition& is_unservable,
-               const char* reason, duration retry_after) {
+               const char* label, const char* reason, duration retry_after) {
     wait_queue unservable;
     std::erase_if(service.waiting, [&](const waiting_request& it) {
         const bool drop = is_unservable(it);
@@ -243,6 +257,9 @@
         }
         return drop;
     });
+    for (const auto& it : unservable) {
+        count_refusal(board, label, it.rank);
+    }
     refuse_all(board, unservable, reason, retry_after);
 }
 
@@ -252,23 +269,16 @@
     const auto expected = expected_response_time(service);
     refuse_if(
         board, service, [&](const waiting_request& it) { return cannot_meet_deadline(it, expected, now); },
-        "no server has room in time", expected);
+        "deadline", "no server has room in time", expected);
     refuse_if(board, service,
               [&](const waiting_request& it) { return !accepts_request(board, now, it.deadline); },
-              stopping_reason, {});
+              "stopping", stopping_reason, {});
 }
 
 /// Offers the servers whose load report is at most `age` old, in order of predicted response time.
 void offer_recently_reported(gateway_board& board, gateway_service& service, duration age, time_point now) {
-    std::vector<std::pair<duration, server_view*>> recent;
-    for (auto& view : service.pool.servers) {
-        if (now - view.reported_at <= age) {
-            recent.emplace_back(make_offer(service, view, now).predicted_latency, &view);
-        }
-    }
-    std::sort(recent.begin(), recent.end());
-    for (const auto& it : recent) {
-        assign_waiting_requests(board, service, *it.second);
+    for (const auto index : recently_reported(service, age, now)) {
+        assign_waiting_requests(board, service, service.pool.servers[index]);
     }
 }
 
@@ -303,23 +313,72 @@
 
 } // namespace
 
-void enqueue_request(gateway_board& board, gateway_request& it, attempt_purpose purpose) {
-    auto& service = board.services[it.service];
+duration expected_response_time(const gateway_service& service) {
+    if (service.median_response_time > duration::zero()) {
+        return service.median_response_time;
+    }
+    return service.default_response_time > duration::zero() ? service.default_response_time
+                                                            : fallback_response_time;
+}
+
+server_offer make_offer(const gateway_service& service, const server_view& view, time_point now) {
+    server_offer offer;
+    offer.server = view.listed.id;
+    offer.in_local_domain = view.listed.failure_domain == service.pool.own_domain;
+    const auto present = adjusted_report(view);
+    offer.usable = may_use(view, now) && view.state != server_state::ejected &&
+                   view.in_flight.size() < view.connection_share;
+    offer.has_free_slot = has_room(present, view.slots);
+    offer.has_spare_capacity = is_uncontended(present, view.slots);
+    offer.predicted_latency = predicted_time(present, view.slots, expected_response_time(service));
+    return offer;
+}
+
+room_forecast room_of(const gateway_service& service, time_point now) {
+    return forecast_room(service.room, count_free_slots(service, now), now);
+}
+
+std::vector<server_index> recently_reported(const gateway_service& service, duration age, time_point now) {
+    std::vector<std::pair<duration, server_index>> recent;
+    for (server_index i = 0; i < service.pool.servers.size(); ++i) {
+        const auto& view = service.pool.servers[i];
+        if (now - view.reported_at <= age) {
+            recent.emplace_back(make_offer(service, view, now).predicted_latency, i);
+        }
+    }
+    std::sort(recent.begin(), recent.end());
+    std::vector<server_index> order;
+    order.reserve(recent.size());
+    for (const auto& it : recent) {
+        order.push_back(it.second);
+    }
+    return order;
+}
+
+std::optional<std::size_t> select_waiting(const gateway_service& service, const server_view& view,
+                                          time_point now) {
+    return select_for_room(service.waiting, service.room, forecast_room(service.room, 0, now),
+                           make_offer(service, view, now), expected_response_time(service), now);
+}
+
+std::optional<queue_refusal> find_queue_refusal(const gateway_board& board, const gateway_service& service,
+                                                time_point deadline, time_point now, random_source& random) {
     if (service.pool.servers.empty()) {
-        fail_unassigned(board, it, purpose, "service has no server", min_retry_after);
-        return;
+        return queue_refusal{"service has no server", min_retry_after};
     }
-    const auto now = boot_clock::now();
-    if (!accepts_request(board, now, it.deadline)) {
-        fail_unassigned(board, it, purpose, stopping_reason, {});
-        return;
+    if (!accepts_request(board, now, deadline)) {
+        return queue_refusal{stopping_reason, {}};
     }
     const auto first_at = first_request_at(service.pool, {}, now);
-    if (first_at > now && (first_at == time_point::max() || first_at > it.deadline)) {
-        fail_unassigned(board, it, purpose, "servers want no request in time",
-                        retry_after_allowance(board, service, {}, now));
-        return;
+    if (first_at > now && (first_at == time_point::max() || first_at > deadline)) {
+        return queue_refusal{"servers want no request in time",
+                             retry_after_allowance(service, {}, now, random)};
     }
+    return std::nullopt;
+}
+
+waiting_request make_waiting(const gateway_service& service, const gateway_request& it,
+                             attempt_purpose purpose, time_point now) {
     waiting_request entry;
     entry.request = it.number;
     entry.purpose = purpose;
@@ -330,9 +389,27 @@
     entry.latency_target = it.matched_route->latency_target;
     entry.deadline = it.deadline;
     entry.prefers_local_domain = it.matched_route->large_response;
+    if (it.tenant != nullptr) {
+        entry.tenant = it.tenant->id.text;
+    }
+    const auto work = service.work.find(it.matched_route->id);
+    entry.expected_work = work == service.work.end() ? expected_response_time(service) : work->second.mean;
+    entry.work_spread = work == service.work.end() ? duration::zero() : work->second.spread;
     for (const auto& attempt : it.attempts) {
         entry.tried.push_back(attempt->server);
     }
+    return entry;
+}
+
+void enqueue_request(gateway_board& board, gateway_request& it, attempt_purpose purpose) {
+    auto& service = board.services[it.service];
+    const auto now = boot_clock::now();
+    if (const auto refusal = find_queue_refusal(board, service, it.deadline, now, board.random)) {
+        fail_unassigned(board, it, purpose, refusal->reason, refusal->retry_after);
+        return;
+    }
+    const auto entry = make_waiting(service, it, purpose, now);
+    note_arrival(service.room, entry, now);
     service.waiting.push_back(entry);
     if (service.reports_load && service.waiting.front().probing_done) {
         // No probes for this request: requests that already wait get the next server with a free slot.
@@ -374,8 +451,7 @@
 void assign_waiting_requests(gateway_board& board, gateway_service& service, server_view& view) {
     while (!service.waiting.empty()) {
         const auto now = boot_clock::now();
-        const auto position = select_request(service.waiting, make_offer(service, view, now),
-                                             expected_response_time(service), now);
+        const auto position = select_waiting(service, view, now);
         if (!position) {
             return;
         }
@@ -402,10 +478,16 @@
 
 void process_wait_queue(gateway_board& board, gateway_service& service, time_point now) {
     mark_unresponsive_servers(service, now);
+    // If no server may be used for a while, requests do not wait for room.
+    const bool is_usable = first_request_at(service.pool, {}, now) <= now;
+    review_room(service.room, is_usable ? service.waiting : wait_queue{}, now);
     if (service.waiting.empty()) {
         return;
     }
     refuse_unservable(board, service, now);
+    if (is_usable) {
+        refuse_without_room(board, service, now);
+    }
     refuse_overdue(board, service, now);
     offer_recently_reported(board, service, recent_report_age, now);
     dispatch_unanswered(board, service, now);
