--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -1,4 +1,5 @@
 #include "endivelever/gateway/controllers.hpp"
+#include "endivelever/gateway/explain.hpp"
 
 #include <array>
 
@@ -110,7 +111,7 @@
 
 http_server::handlers metrics_handlers(gateway_board& board) {
     return on_head_handlers([&board](http_exchange& exchange) {
-        if (!handle_peer_request(board, exchange)) {
+        if (!handle_peer_request(board, exchange) && !handle_explain(board, exchange)) {
             exchange.respond(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_text(board));
         }
     });
