--- a/tests/fakes/fake_object_store.cpp
+++ b/tests/fakes/fake_object_store.cpp
@@ -223,6 +223,17 @@
         exchange.respond(409, {}, m_objects[kind][name].dump());
         return;
     }
+    const auto expected = object.at("metadata").find("revision");
+    if (exchange.method() == "PUT" && expected != object.at("metadata").end()) {
+        if (!has(kind, name)) {
+            exchange.respond(404, {}, "{}");
+            return;
+        }
+        if (m_objects[kind][name].at("metadata").at("revision") != *expected) {
+            exchange.respond(409, {}, m_objects[kind][name].dump());
+            return;
+        }
+    }
     put(kind, name, object.at("spec"));
     if (lost_writes > 0) {
         --lost_writes;
--- a/tests/fakes/fake_object_store.hpp
+++ b/tests/fakes/fake_object_store.hpp
@@ -11,8 +11,9 @@
 
 namespace endivelever::http_test {
 
-/// In-process stand-in of the platform's object store: lists in pages, watches, creates and replaces, and
-/// misbehaves as a test tells it to. It rejects request targets that are not valid by RFC 3986.
+/// In-process stand-in of the platform's object store: lists in pages, watches, creates and replaces (also on
+/// condition of a revision), and misbehaves as a test tells it to. It rejects request targets that are not
+/// valid by RFC 3986.
 class fake_object_store {
   public:
     enum class manner { serves, refuses, limits, silent, closes };
