--- a/src/decide/quota_bounds.cpp
+++ b/src/decide/quota_bounds.cpp
@@ -10,8 +10,8 @@
 constexpr double bucket_overage_share = 0.55;
 constexpr double floor_overage_share = 0.2;
 // Shares of the tolerance; they must not sum to more than 1.
-constexpr double bucket_tolerance_share = 0.75;
-constexpr double floor_tolerance_share = 0.2;
+constexpr double bucket_tolerance_share = 0.85;
+constexpr double floor_tolerance_share = 0.1;
 
 /// Requests that the quota allows in one window.
 double window_quota(const quota_limit& limit, const quota_bounds& bounds) {
