--- a/tests/unit/quota_lease_explore_test.cpp
+++ b/tests/unit/quota_lease_explore_test.cpp
@@ -126,8 +126,8 @@
     if (!write.exists && !lease.is_writing && from.writes_left > 0 && may_write) {
         auto it = from;
         --it.writes_left;
-        it.pending[vm] = {true, true, lease.revision, next_record(lease, hash(vm), incarnation{1}),
-                          from.now()};
+        it.pending[vm] = {true, true, lease.revision,
+                          next_record(lease, hash(vm), incarnation{1}, from.now()), from.now()};
         note_write_started(it.leases[vm], from.now());
         out.push_back(it);
     }
