--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -65,6 +65,20 @@
     counters.gauges[series] = static_cast<double>(source.total);
 }
 
+void set_cold_gauges(gateway_board& board) {
+    const auto now = boot_clock::now();
+    std::size_t cold = 0;
+    std::size_t used = 0;
+    for (const auto& [id, service] : board.services) {
+        for (const auto& it : service.pool.servers) {
+            cold += is_cold(it.warm_up_use, now) ? 1 : 0;
+            used += is_cold(it.warm_up_use, now) && it.warm_up_use.is_sender ? 1 : 0;
+        }
+    }
+    board.counters.gauges["gateway_cold_servers"] = static_cast<double>(cold);
+    board.counters.gauges["gateway_cold_servers_used"] = static_cast<double>(used);
+}
+
 std::string metrics_text(gateway_board& board) {
     auto& gauges = board.counters.gauges;
     gauges["gateway_open_requests"] = static_cast<double>(board.requests.size());
@@ -81,6 +95,7 @@
     if (board.conf.revocation_limit > duration::zero()) {
         gauges["gateway_currency_age_seconds"] = to_seconds(boot_clock::now() - board.currency.proven_at);
     }
+    set_cold_gauges(board);
     gauges["gateway_evacuated_domains"] = static_cast<double>(board.evacuations.domains.size());
     gauges["gateway_store_calls"] = static_cast<double>(board.store_access.counts.calls);
     gauges["gateway_store_call_failures"] = static_cast<double>(board.store_access.counts.failures);
--- a/tests/contract/evacuation_test.cpp
+++ b/tests/contract/evacuation_test.cpp
@@ -290,6 +290,9 @@
     auto& gateway = start_two_domains();
     put_entry(*targets[1], "i-b", "zone-b", 20'000, 2);
     ASSERT_TRUE(loop.run_until([&] { return is_cold_server(gateway, "i-b"); }));
+    const auto metrics = get(gateway.board().conf.metrics_address, "/metrics").body;
+    EXPECT_NE(std::string::npos, metrics.find("endivelever_gateway_cold_servers 1\n"));
+    EXPECT_NE(std::string::npos, metrics.find("endivelever_gateway_cold_servers_used 1\n"));
     put_entry(*targets[1], "i-b", "zone-b", 0, 3);
     EXPECT_TRUE(loop.run_until([&] { return !is_cold_server(gateway, "i-b"); }, 10s));
 }
