Let the paused gateway continue before it can learn of the revocation

Cause: without strict_revocation the test passed as well: a gateway that continued found the change in the connection of its watch, or pulled it from a peer, before it read the requests that had waited. Change: its connection to the store is held from the pause on, and the others are paused while it continues.

--- a/tests/failure/key_revocation_test.cpp
+++ b/tests/failure/key_revocation_test.cpp
@@ -66,6 +66,22 @@
             length);
     }
 
+    void pause_others(std::size_t index) {
+        for (std::size_t i = 0; i < vms; ++i) {
+            if (i != index) {
+                gateways[i].process.pause();
+            }
+        }
+    }
+
+    void resume_others(std::size_t index) {
+        for (std::size_t i = 0; i < vms; ++i) {
+            if (i != index) {
+                gateways[i].process.resume();
+            }
+        }
+    }
+
     duration random_time(std::uint32_t below_ms) {
         return std::chrono::milliseconds(random_below(random, below_ms));
     }
@@ -121,13 +137,20 @@
     fleet.links[cut]->set_mode(GetParam() % 2 == 0 ? forward_mode::hold_both : forward_mode::refuse);
     fleet.play_for(fleet.random_time(400));
     fleet.gateways[paused].process.pause();
+    // Nothing that waits in its sockets contains the change.
+    fleet.links[paused]->set_mode(forward_mode::hold_both);
     fleet.play_for(fleet.random_time(400));
     fleet.tenants = {tenant({"key-kept"})};
     fleet.put_config();
     const auto changed_at = boot_clock::now();
     fleet.play_for(revocation_bound + 500ms + fleet.random_time(1500));
     const auto refused_before = fleet.responses_with(401);
+    // The VM continues before anybody can tell it of the change.
+    fleet.pause_others(paused);
     fleet.gateways[paused].process.resume();
+    fleet.play_for(500ms);
+    fleet.links[paused]->set_mode(forward_mode::pass);
+    fleet.resume_others(paused);
     fleet.play_for(2s);
     fleet.links[cut]->set_mode(forward_mode::pass);
     fleet.play_for(1s);
