Show the tokens of a quota in explanations

An explanation named a server also for a tenant without quota left, with no sign of that. It now shows the tokens that this VM holds for the tenant.

--- a/include/endivelever/gateway/explain.hpp
+++ b/include/endivelever/gateway/explain.hpp
@@ -2,6 +2,7 @@
 
 #include "endivelever/gateway/board.hpp"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,7 +43,8 @@
     std::string service;
     std::string tenant;
     std::uint32_t priority = 0;
-    std::size_t waiting = 0; ///< requests in the queue of the service
+    std::optional<std::size_t> quota_tokens; ///< that this VM holds for the tenant; empty without a quota
+    std::size_t waiting = 0;                 ///< requests in the queue of the service
     bool room_exceeded = false;
     std::string server; ///< chosen one
     explain_basis basis = explain_basis::report;
@@ -50,7 +52,7 @@
 };
 
 /// Finds what would happen to a request that arrives now, with the functions that place requests, on copies
-/// of their state. Quotas are not considered.
+/// of their state. Whether the allocator of the tenant's quota would grant a token is not considered.
 explanation explain_request(const gateway_board& board, const explain_query& query, time_point now);
 
 /// @return the explanation as a JSON object
--- a/src/gateway/explain.cpp
+++ b/src/gateway/explain.cpp
@@ -199,6 +199,16 @@
     return found == tenants.end() ? nullptr : &*found;
 }
 
+std::size_t count_tokens(const quota_state& quota, const tenant_id& tenant, time_point now) {
+    const auto found = quota.reserves.find(hash_of(tenant));
+    if (found == quota.reserves.end()) {
+        return 0;
+    }
+    const auto& tokens = found->second.tokens;
+    return static_cast<std::size_t>(
+        std::count_if(tokens.begin(), tokens.end(), [now](time_point expiry) { return expiry > now; }));
+}
+
 std::string number_text(double value) {
     std::array<char, 32> buf{};
     const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), value, std::chars_format::fixed, 1);
@@ -274,6 +284,9 @@
         return refused(base, status_unauthorized,
                        query.tenant.empty() ? "the route needs a key: name a tenant" : "tenant is not known");
     }
+    if (tenant != nullptr && tenant->rate > 0.0 && has_quotas(board)) {
+        base.quota_tokens = count_tokens(board.quota, tenant->id, now);
+    }
     auto random = board.random;
     gateway_request request;
     request.number = explained_number;
@@ -321,6 +334,7 @@
     add_text("service", it.service);
     add_text("tenant", it.tenant);
     add_number("priority", std::to_string(it.priority));
+    add_number("quota_tokens", it.quota_tokens ? std::to_string(*it.quota_tokens) : "null");
     add_number("waiting", std::to_string(it.waiting));
     add_number("room_exceeded", it.room_exceeded ? "true" : "false");
     text += ",\"servers\":[";
--- a/tests/unit/explain_test.cpp
+++ b/tests/unit/explain_test.cpp
@@ -255,6 +255,22 @@
     EXPECT_TRUE(random == it.board.random);
 }
 
+// Guards against tokens of a quota that are shown after they have expired, or for tenants without a quota.
+TEST(explain, shows_the_tokens_of_a_quota) {
+    board_fixture it(true);
+    it.add_servers(1);
+    const auto tokens = [&it] { return it.explain({"desk.example", "/a/x", "north"}).quota_tokens; };
+    EXPECT_FALSE(tokens());
+    it.board.conf.quota_window = 5s;
+    auto conf = make_config(true);
+    conf.tenants.front().rate = 10.0;
+    it.board.routes = make_route_table(std::move(conf));
+    EXPECT_EQ(0U, tokens());
+    const auto now = boot_clock::now();
+    it.board.quota.reserves[hash_of(tenant_id("north"))].tokens = {now - 1s, now + 1min, now + 1min};
+    EXPECT_EQ(2U, tokens());
+}
+
 struct denial_case {
     const char* name;
     void (*change)(server_view&);
