Reserve memory for small bodies as they arrive, and count each limit

Cause: a body of up to 1 MB reserved its whole length when its head was read. 300 callers that announced 1 MB each and sent nothing had the bodies of all others refused until their deadlines.

Change: bodies up to 1 MB reserve 16 KB and then what arrives; larger ones still reserve their length before they are read. New counters readings_paused_total and heads_rejected_total. The destructor is public.

--- a/include/endivelever/net/connection_budget.hpp
+++ b/include/endivelever/net/connection_budget.hpp
@@ -23,6 +23,7 @@
 /// Connection that takes part in a budget. It joins and leaves the budget with its lifetime.
 class budgeted_connection {
   public:
+    virtual ~budgeted_connection() = default;
     budgeted_connection(const budgeted_connection&) = delete;
     budgeted_connection& operator=(const budgeted_connection&) = delete;
     budgeted_connection(budgeted_connection&&) = delete;
@@ -37,7 +38,6 @@
 
   protected:
     budgeted_connection() = default;
-    virtual ~budgeted_connection() = default;
 
   private:
     friend class connection_budget;
@@ -75,6 +75,13 @@
     /// in this loop iteration.
     /// @param listener  the listener that is full; nullptr if the process has too many connections
     void free_connections(const void* listener);
+    /// Counts a connection from which no further request is read until earlier ones have ended or the caller
+    /// has read their responses.
+    void count_paused_reading() { ++m_paused_readings; }
+    [[nodiscard]] std::uint64_t paused_readings() const { return m_paused_readings; }
+    /// Counts a request whose head is larger than allowed or cannot be read.
+    void count_rejected_head() { ++m_rejected_heads; }
+    [[nodiscard]] std::uint64_t rejected_heads() const { return m_rejected_heads; }
     void count_closed(close_cause cause) { ++m_closed.at(static_cast<std::size_t>(cause)); }
 
     /// Reserves memory for a request body. @return false if it must not be read
@@ -90,6 +97,8 @@
     byte_count m_closing_memory; ///< of connections that were chosen to end
     std::vector<budgeted_connection*> m_connections;
     std::array<std::uint64_t, close_cause_count> m_closed{};
+    std::uint64_t m_paused_readings = 0;
+    std::uint64_t m_rejected_heads = 0;
 };
 
 } // namespace endivelever
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -84,6 +84,8 @@
     gauges["gateway_connection_memory_bytes"] = static_cast<double>(intake.usage().connections_memory.value);
     gauges["gateway_body_memory_bytes"] = static_cast<double>(intake.usage().bodies_memory.value);
     gauges["gateway_intake_memory_limit_bytes"] = static_cast<double>(intake.limits().memory.value);
+    counter(board.counters, "gateway_readings_paused_total") = intake.paused_readings();
+    counter(board.counters, "gateway_heads_rejected_total") = intake.rejected_heads();
     gauges["gateway_log_lines_omitted"] = static_cast<double>(board.log.omitted);
     for (const auto cause : {close_cause::memory, close_cause::connections, close_cause::stalled}) {
         const auto series = std::string("gateway_connections_closed_total{cause=\"") + name_of(cause) + "\"}";
--- a/src/gateway/intake.cpp
+++ b/src/gateway/intake.cpp
@@ -20,6 +20,9 @@
 constexpr duration deadline_precision = 10ms;
 // Time in which the bodies that fill the memory are passed on.
 constexpr duration body_retry_after = 500ms;
+// Bodies up to this size reserve memory as they arrive, so that callers that announce bodies and send none do
+// not shut out others. Larger ones reserve it at once, so that they are refused before they are read.
+constexpr std::uint64_t max_gradual_body = 1UL << 20U;
 constexpr std::uint64_t first_body_capacity = 16UL * 1024UL;
 constexpr std::size_t max_tracked_routes = 20'000;
 // Longer deadlines are clamped: every configuration ends requests earlier.
@@ -110,6 +113,12 @@
     return true;
 }
 
+/// @return the memory to reserve before the body of a request is read
+std::uint64_t first_reservation(std::optional<std::uint64_t> length) {
+    const auto size = length.value_or(first_body_capacity);
+    return size > max_gradual_body ? size : std::min(size, first_body_capacity);
+}
+
 void refuse_body(gateway_board& board, gateway_request& it) {
     count(board, "bodies_refused_total");
     respond_with_error(board, it, {status_unavailable, "no memory for the request body", body_retry_after});
@@ -147,7 +156,7 @@
         respond_with_error(board, it, {status_too_large, "request body is larger than allowed", {}});
         return;
     }
-    if (!reserve_body(board, it, length.value_or(first_body_capacity))) {
+    if (!reserve_body(board, it, first_reservation(length))) {
         refuse_body(board, it);
         return;
     }
@@ -167,10 +176,11 @@
         return;
     }
     const auto max_body = it->table->config.limits.max_body.value;
+    const auto length = exchange.content_length();
     if (it->body == nullptr) {
-        // The reservation for a body of known length is its length, so that it never has to be copied.
+        // A body of known length never has to be copied.
         it->body = std::make_shared<std::string>();
-        it->body->reserve(it->body_reserved.value);
+        it->body->reserve(length.value_or(it->body_reserved.value));
     }
     const auto size = it->body->size() + data.size();
     if (size > max_body) {
@@ -178,7 +188,7 @@
         return;
     }
     if (size > it->body_reserved.value) {
-        const auto doubled = std::min(max_body, std::max(size, 2 * it->body_reserved.value));
+        const auto doubled = std::min(length.value_or(max_body), std::max(size, 2 * it->body_reserved.value));
         if (!reserve_body(board, *it, doubled) && !reserve_body(board, *it, size)) {
             refuse_body(board, *it);
             return;
--- a/src/net/pipelined_connection.cpp
+++ b/src/net/pipelined_connection.cpp
@@ -272,6 +272,7 @@
     if (m_ended) {
         return;
     }
+    m_core.budget->count_rejected_head();
     const auto status = m_error_status != 0 ? m_error_status : status_bad_request;
     const auto* reason = status == status_header_too_large ? "header is too large" : "request cannot be read";
     auto* it = std::exchange(m_receiving, nullptr);
@@ -436,6 +437,9 @@
     // is detected; after the last request the input is discarded.
     const bool may_buffer = m_receiving == nullptr && m_unparsed_input.size() < max_unparsed_input;
     if (m_reads_requests && should_pause_input() && !may_buffer) {
+        if (m_receiving == nullptr && ev_is_active(&m_readable)) {
+            m_core.budget->count_paused_reading();
+        }
         ev_io_stop(m_core.loop, &m_readable);
     } else {
         ev_io_start(m_core.loop, &m_readable);
