--- a/tests/contract/connection_limits_test.cpp
+++ b/tests/contract/connection_limits_test.cpp
@@ -93,6 +93,7 @@
         it.respond(200, {}, std::string(6UL << 20U, 'x'));
     };
     std::vector<std::unique_ptr<raw_socket>> crowd;
+    crowd.reserve(4);
     for (int i = 0; i < 4; ++i) {
         crowd.push_back(server.connect());
         crowd.back()->send_some("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -108,6 +109,7 @@
 TEST(connection_limits, idle_connections_make_room_for_new_ones) {
     limited_server server({}, 4);
     std::vector<std::unique_ptr<raw_socket>> crowd;
+    crowd.reserve(4);
     for (int i = 0; i < 4; ++i) {
         crowd.push_back(server.connect());
     }
@@ -126,6 +128,7 @@
     opts.budget = server.budget;
     echo_server other(server.loop.get(), opts);
     std::vector<std::unique_ptr<raw_socket>> crowd;
+    crowd.reserve(4);
     for (int i = 0; i < 4; ++i) {
         crowd.push_back(server.connect());
     }
--- a/tests/unit/intake_budget_test.cpp
+++ b/tests/unit/intake_budget_test.cpp
@@ -56,7 +56,7 @@
 
 // Guards against a limit that a caller within the configured limits reaches: 32 requests with heads of 16 KB.
 TEST(reading, goes_on_for_32_requests_with_the_largest_heads) {
-    EXPECT_TRUE(reads_requests({}, byte_count{32 * 16 * kb + 256 * kb}));
+    EXPECT_TRUE(reads_requests({}, byte_count{32 * (16 * kb) + 256 * kb}));
     EXPECT_FALSE(reads_requests({}, byte_count{1 * mb}));
 }
 
