Check tenants, keys, quotas and evacuations in the soak

The soak has two tenants, one with a limit; a key of its own in each configuration, which the next one takes away; and an evacuation of a failure domain as a fault. It checks the tenant and the absence of the key at the servers, unknown and revoked keys, arrivals in an evacuated domain, and the quota in every window. Requests that a held link delivers later than 300 ms are not counted in the window in which they arrive.

--- a/tests/fakes/fake_target.cpp
+++ b/tests/fakes/fake_target.cpp
@@ -70,6 +70,7 @@
         return;
     }
     ran.push_back(*id);
+    ran_at.push_back(boot_clock::now());
     heads[*id] = exchange.headers();
     bodies[*id] = m_received[&exchange];
     m_open[&exchange] = *id;
--- a/tests/fakes/fake_target.hpp
+++ b/tests/fakes/fake_target.hpp
@@ -50,6 +50,7 @@
     bool directives_in_probes = true;          ///< also to responses to health checks
     std::vector<time_point> arrivals;          ///< of requests, also of those that it rejects
     std::vector<std::string> ran;              ///< ids of the requests that began to run
+    std::vector<time_point> ran_at;            ///< when each of them began
     std::vector<std::string> left;             ///< ids whose connection closed before the response
     std::map<std::string, http_headers> heads; ///< by request id
     std::map<std::string, std::string> bodies; ///< received, by request id
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,110 +1,10 @@
-#include "soak/soak.hpp"
-
-#include "contract/http_fixture.hpp"
-#include "endivelever/base/random.hpp"
-#include "fakes/fake_object_store.hpp"
-#include "fakes/fake_target.hpp"
-#include "fakes/platform_settings.hpp"
-#include "testbed/forwarder.hpp"
-#include "testbed/process.hpp"
+#include "soak/soak_run.hpp"
 
 #include <csignal>
 
 namespace endivelever::soak {
 namespace {
 
-using namespace std::chrono_literals;
-using http_test::fake_object_store;
-using http_test::fake_target;
-using nlohmann::json;
-using testbed::forward_mode;
-
-constexpr duration call_gap = 8ms;
-constexpr duration shortest_fault_gap = 60ms;
-constexpr std::uint32_t fault_gap_spread_ms = 240;
-constexpr duration shortest_fault = 100ms;
-constexpr std::uint32_t fault_spread_ms = 1400;
-constexpr int call_deadline_ms = 1000;
-constexpr int grace_period_s = 6;
-// Generous: a process that was killed last starts, reads the store and hears of the others.
-constexpr duration recovery_limit = 60s;
-constexpr const char* service = "desk";
-constexpr const char* once_path = "/once/x";
-constexpr const char* again_path = "/again/x";
-constexpr const char* added_path = "/added/x"; ///< in every configuration from the second on
-
-struct server_stand_in {
-    std::unique_ptr<fake_target> target;
-    std::unique_ptr<testbed::forwarder> link; ///< between gateways and server
-    bool registered = true;
-};
-
-struct gateway_under_test {
-    std::string vm;
-    std::string host;
-    std::string settings_file;
-    std::string log_file;
-    std::unique_ptr<testbed::forwarder> store_link;
-    testbed::process process;
-    std::uint32_t life = 0;
-    bool served_added_route = false; ///< in this life
-    bool paused = false;
-    time_point restart_at{}; ///< default while it runs
-
-    [[nodiscard]] socket_address callers() const { return socket_address(host + ":7001"); }
-};
-
-struct call_record {
-    std::string id;
-    std::size_t gateway = 0;
-    std::uint32_t life = 0;
-    bool once = false;
-    bool added_route = false;
-    bool denied = false; ///< the caller was told that it has not run
-};
-
-struct soak_run {
-    soak_options options;
-    soak_report report;
-    random_source random;
-    http_test::test_loop loop;
-    fake_object_store store{loop.get()};
-    testbed::temporary_folder folder;
-    std::vector<server_stand_in> servers;
-    std::vector<gateway_under_test> gateways;
-    std::unique_ptr<http_client> client = std::make_unique<http_client>(loop.get(), 0);
-    std::map<std::string, call_record> calls;
-    std::vector<std::pair<time_point, std::function<void()>>> due; ///< ends of faults
-    std::uint32_t version = 0;
-    std::uint32_t open_calls = 0;
-    std::uint64_t last_call = 0;
-
-    explicit soak_run(const soak_options& opts) : options(opts), random(opts.seed) {}
-    ~soak_run() { client.reset(); }
-    soak_run(const soak_run&) = delete;
-    soak_run& operator=(const soak_run&) = delete;
-    soak_run(soak_run&&) = delete;
-    soak_run& operator=(soak_run&&) = delete;
-
-    void put_config();
-    void add_server();
-    void add_gateway(std::size_t index);
-    void start(gateway_under_test& it);
-    void call(std::size_t index, const char* path, std::function<void(unsigned)> on_status = {});
-    void judge(const call_record& call, const http_reply& reply);
-    void inject();
-    void end_later(duration after, std::function<void()> action);
-    void run_due(bool all);
-    void restart_ended();
-    void recover();
-    void count_runs();
-    void violate(const std::string& what) { report.violations.push_back(what); }
-    std::size_t pick(std::size_t n) { return random_below(random, static_cast<std::uint32_t>(n)); }
-    duration fault_length() {
-        return shortest_fault + std::chrono::milliseconds(random_below(random, fault_spread_ms));
-    }
-};
-
 json route(const char* name, const char* path, const char* type) {
     return {{"resource_kind", "routes"},
             {"metadata", {{"name", name}}},
@@ -119,15 +19,26 @@
               {"max_attempts", 2}}}};
 }
 
+} // namespace
+
 void soak_run::put_config() {
     json resources{route("r1", "/once/", "non_idempotent"),
                    route("r2", "/again/", "idempotent"),
                    {{"resource_kind", "services"},
                     {"metadata", {{"name", service}}},
                     {"spec", {{"health_check_path", "/health"}, {"max_connections", 100}}}}};
+    replaced_at[version] = boot_clock::now();
     if (++version > 1) {
         resources.push_back(route("r3", "/added/", "idempotent"));
     }
+    // Each configuration has a key of its own, which the next one takes away.
+    resources.push_back({{"resource_kind", "tenants"},
+                         {"metadata", {{"name", "open"}}},
+                         {"spec", {{"api_keys", {"key-open", "key-" + std::to_string(version)}}}}});
+    resources.push_back(
+        {{"resource_kind", "tenants"},
+         {"metadata", {{"name", "limited"}}},
+         {"spec", {{"api_keys", {"key-limited"}}, {"rate_per_s", quota_rate}, {"burst", quota_burst}}}});
     std::array<char, 16> text{};
     std::snprintf(text.data(), text.size(), "%08x", version);
     store.put("config", "main", {{"version", text.data()}, {"resources", std::move(resources)}});
@@ -140,6 +51,10 @@
     it.link = std::move(*testbed::forwarder::open(it.target->address()));
     auto entry = it.target->entry(service);
     entry["address"] = it.link->address().text;
+    it.may_be_evacuated = servers.size() % 2 == 0;
+    if (it.may_be_evacuated) {
+        entry["zone"] = evacuated_domain;
+    }
     store.put("servers", id, entry);
 }
 
@@ -150,8 +65,13 @@
     it.host = "127." + std::to_string(20 + pid % 200) + "." + std::to_string(pid / 200 % 250) + "." +
               std::to_string(100 + index);
     it.store_link = std::move(*testbed::forwarder::open(store.address()));
-    const auto settings =
-        http_test::platform_settings(it.vm, it.host, it.store_link->address(), grace_period_s);
+    auto settings = http_test::platform_settings(it.vm, it.host, it.store_link->address(), grace_period_s);
+    settings["bounds"].update({{"revoke_ms", to_milliseconds(revocation_bound)},
+                               {"strict_revocation", true},
+                               {"evacuation_ms", to_milliseconds(evacuation_bound)},
+                               {"quota_window_s", to_seconds(quota_window)},
+                               {"quota_overage", quota_overage},
+                               {"quota_tolerance", quota_tolerance}});
     it.settings_file = folder.write(it.vm + ".json", settings.dump());
     it.log_file = folder.path(it.vm + ".log");
     start(it);
@@ -171,8 +91,27 @@
     it.restart_at = {};
 }
 
-bool denies_run(unsigned status) {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+/// Picks a key for a call: of the tenant with a limit, of the one without, one that a configuration took
+/// away, or one that none ever had.
+std::string soak_run::pick_key(call_record& record) {
+    record.tenant = "open";
+    switch (record.added_route ? 0 : pick(8)) {
+    case 1:
+        record.tenant.clear();
+        return "key-none";
+    case 2:
+    case 3:
+        record.key_until = 1 + static_cast<std::uint32_t>(pick(version));
+        return "key-" + std::to_string(record.key_until);
+    case 4:
+    case 5:
+    case 6:
+    case 7:
+        record.tenant = "limited";
+        return "key-limited";
+    default:
+        return "key-open";
+    }
 }
 
 void soak_run::call(std::size_t index, const char* path, std::function<void(unsigned)> on_status) {
@@ -182,10 +121,13 @@
     record.life = gateways[index].life;
     record.once = path == once_path;
     record.added_route = path == added_path;
+    record.sent = boot_clock::now();
+    const auto key = pick_key(record);
     http_request request;
     request.address = gateways[index].callers();
     request.target = path;
     request.headers = {{"Host", "desk.example"},
+                       {"Authorization", "Bearer " + key},
                        {"X-Request-Id", record.id},
                        {"X-Deadline-Ms", std::to_string(call_deadline_ms)}};
     request.timeout = std::chrono::milliseconds(call_deadline_ms);
@@ -202,41 +144,6 @@
           });
 }
 
-void soak_run::judge(const call_record& call, const http_reply& reply) {
-    if (reply.result.failure != transfer_failure::none) {
-        ++report.unclear;
-        return;
-    }
-    auto& gateway = gateways[call.gateway];
-    const bool same_life = gateway.life == call.life;
-    const auto status = reply.result.status;
-    const auto* id = find_header(reply.headers, "X-Request-Id");
-    if (id != nullptr && *id != call.id) {
-        violate(call.id + ": response of " + *id);
-    }
-    if (status == 200) {
-        ++report.done;
-        const auto* signature = find_header(reply.headers, "X-Response-Signature");
-        if (reply.body != "answer" || signature == nullptr || *signature != "sig-" + call.id) {
-            violate(call.id + ": success without the server's response");
-        }
-    } else if (denies_run(status)) {
-        ++report.refused;
-        calls[call.id].denied = true;
-    } else {
-        ++report.unclear;
-    }
-    if (status == 404 && !call.added_route) {
-        violate(call.id + ": route of every configuration is not known");
-    }
-    if (call.added_route && same_life) {
-        if (status == 404 && gateway.served_added_route) {
-            violate(call.id + ": configuration went back at " + gateway.vm);
-        }
-        gateway.served_added_route = gateway.served_added_route || status == 200;
-    }
-}
-
 void soak_run::end_later(duration after, std::function<void()> action) {
     due.emplace_back(boot_clock::now() + after, std::move(action));
 }
@@ -271,6 +178,8 @@
     }
 }
 
+namespace {
+
 struct fault_kind {
     const char* name;
     void (*begin)(soak_run& run, std::size_t gateway, std::size_t server);
@@ -344,9 +253,23 @@
              run.add_server();
          }
      }},
+    {"domain_evacuated",
+     [](soak_run& run, std::size_t, std::size_t) {
+         if (run.store.has("evacuations", evacuated_domain)) {
+             return;
+         }
+         run.store.put("evacuations", evacuated_domain, json::object());
+         run.evacuations.push_back({boot_clock::now()});
+         run.end_later(evacuation_time, [&run] {
+             run.evacuations.back().until = boot_clock::now();
+             run.store.remove("evacuations", evacuated_domain);
+         });
+     }},
     {"configuration_changes", [](soak_run& run, std::size_t, std::size_t) { run.put_config(); }},
 };
 
+} // namespace
+
 void soak_run::inject() {
     const auto& kind = fault_kinds[pick(fault_kinds.size())];
     const auto gateway = pick(gateways.size());
@@ -383,27 +306,6 @@
     loop.run_until([&] { return open_calls == 0; }, recovery_limit);
 }
 
-void soak_run::count_runs() {
-    std::map<std::string, std::uint32_t> runs;
-    for (const auto& server : servers) {
-        for (const auto& id : server.target->ran) {
-            ++runs[id];
-        }
-    }
-    for (const auto& [id, n] : runs) {
-        const auto found = calls.find(id);
-        if (found == calls.end()) {
-            violate(id + ": no caller sent it");
-        } else if (found->second.once && n > 1) {
-            violate(id + ": ran " + std::to_string(n) + " times");
-        } else if (found->second.once && found->second.denied) {
-            violate(id + ": was said not to have run");
-        }
-    }
-}
-
-} // namespace
-
 soak_report run_soak(const soak_options& options) {
     soak_run run(options);
     run.put_config();
@@ -429,8 +331,9 @@
             }
             if (now >= next_fault) {
                 run.inject();
-                next_fault = now + shortest_fault_gap +
-                             std::chrono::milliseconds(random_below(run.random, fault_gap_spread_ms));
+                const auto gap = shortest_fault_gap +
+                                 std::chrono::milliseconds(random_below(run.random, fault_gap_spread_ms));
+                next_fault = now + options.fault_gap_factor * gap;
             }
             return now >= end;
         },
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -9,7 +9,8 @@
     R"(Fault soak of the gateway: real processes, random faults, promises checked while it runs.
 
 Usage:
-  endivelever-soak [--seed=N] [--runs=N] [--seconds=S] [--gateways=N] [--servers=N] [--faults]
+  endivelever-soak [--seed=N] [--runs=N] [--seconds=S] [--gateways=N] [--servers=N]
+                  [--rarer=N] [--faults]
   endivelever-soak (-h | --help)
 
 Options:
@@ -18,6 +19,7 @@
   --seconds=S   Time in which faults come, for each run [default: 8].
   --gateways=N  Gateway processes [default: 3].
   --servers=N   Servers [default: 5].
+  --rarer=N     Factor on the time between faults [default: 1].
   --faults      Prints the faults of each run.
 )";
 
@@ -34,11 +36,13 @@
         options.fault_time = std::chrono::seconds(args.at("--seconds").asLong());
         options.gateways = static_cast<std::size_t>(args.at("--gateways").asLong());
         options.servers = static_cast<std::size_t>(args.at("--servers").asLong());
+        options.fault_gap_factor = static_cast<int>(args.at("--rarer").asLong());
         options.program = ENDIVELEVER_BIN_DIR "/endivelever-gateway";
         const auto report = soak::run_soak(options);
         std::cout << "seed " << options.seed << ": " << report.calls << " calls, " << report.done << " done, "
-                  << report.refused << " refused, " << report.unclear << " unclear, " << report.faults.size()
-                  << " faults, " << report.violations.size() << " violations\n";
+                  << report.refused << " refused, " << report.unclear << " unclear, " << report.most_in_window
+                  << " in a quota window, " << report.faults.size() << " faults, " << report.violations.size()
+                  << " violations\n";
         for (const auto& it : report.violations) {
             std::cout << "  " << it << '\n';
         }
