--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -152,9 +152,9 @@
 bool has_quotas(const gateway_board& board);
 /// Sends a request to a server as soon as its tenant's quota allows, or refuses it.
 void dispatch_within_quota(gateway_board& board, gateway_request& it);
-/// Decides at the moment of sending whether an attempt is within the quota. A token may have expired while the
-/// request waited for a server, and an attempt after one that may have run needs a token of its own. If there
-/// is none, the request asks for one and is enqueued again with it, or the attempt is given up.
+/// Decides at the moment of sending whether an attempt is within the quota. A token may have expired while
+/// the request waited for a server, and an attempt after one that may have run needs a token of its own. If
+/// there is none, the request asks for one and is enqueued again with it, or the attempt is given up.
 /// @return true if the attempt may start now
 bool admit_attempt(gateway_board& board, gateway_request& it);
 /// Gives back the token of a request that no server has run.
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -291,8 +291,8 @@
 }
 
 TEST(quota_messages, keep_their_fields) {
-    const auto request = decode(
-        bytes_of(encode(quota_request_message{vm_id("vm-1"), incarnation{2}, 3, "10.0.0.1:9", {{4, 5, true}}})));
+    const auto request = decode(bytes_of(
+        encode(quota_request_message{vm_id("vm-1"), incarnation{2}, 3, "10.0.0.1:9", {{4, 5, true}}})));
     ASSERT_TRUE(request);
     const auto& asked = std::get<quota_request_message>(*request);
     EXPECT_EQ("10.0.0.1:9", asked.reply_to);
