--- a/review/9/case.py
+++ b/review/9/case.py
@@ -11,8 +11,8 @@
 from stand_ins_2 import (Gateway, Store, Target, config, free_hosts, limits, new_id, now, route, run,  # noqa: E402
                          send, service)
 
-BOUNDS = {"ack_ms": 5000, "catch_up_s": 6, "drain_ms": 2500, "config_apply_ms": 2500, "warmup_overage": 1.5,
-          "warmup_tolerance": 8, "evacuation_ms": 5000, "probes_per_s": 42}
+# The bounds are those of hanbit-fold, with the one for evacuations from demands/liffeysplits-grown.
+BOUNDS = {"evacuation_ms": 5000}
 STABILITY_S, EVACUATION_S, AWAY_S = 3.0, 5.0, 1.0
 HEARTBEAT_S = 1.5
 
