Reject responses that switch protocols, and bodies without a final head

Cause: libcurl delivers what follows a 101 as the body of that response, while on_header() took it for an interim one and waited for another head. A body above the size that is held was then streamed with the status of an attempt that has none. A breakpoint in begin_streaming() shows status 0 and head_arrived false.

Change: a 101 is a malformed head; body data without a final head ends the transfer; response_status::permit() lets no number outside 200 to 599 pass.

Before: 5 of 14 cases of contract.no_final_head and contract.bodiless fail, and failure.odd_answer/switching_protocols fails with real processes.

--- a/include/endivelever/decide/run_evidence.hpp
+++ b/include/endivelever/decide/run_evidence.hpp
@@ -28,14 +28,14 @@
 /// can leave out the check.
 class response_status {
   public:
-    /// Replaces a status that promises that the request was not run by 502, unless that is proven for every
-    /// attempt.
+    /// Replaces by 502 a status that promises that the request was not run, unless that is proven for every
+    /// attempt, and any number that is not the status of a final response.
     /// @param wanted    status of the server's response, or of the gateway's own
     /// @param attempts  as for may_have_run()
     static response_status permit(unsigned wanted, std::span<const not_run_proof> attempts);
 
     [[nodiscard]] unsigned value() const { return m_value; }
-    /// The wanted status would have promised too much.
+    /// The wanted status would have promised too much, or is none.
     [[nodiscard]] bool is_replaced() const { return m_replaced; }
 
   private:
--- a/src/decide/run_evidence.cpp
+++ b/src/decide/run_evidence.cpp
@@ -5,6 +5,8 @@
 namespace endivelever {
 namespace {
 
+constexpr unsigned first_final_status = 200;
+constexpr unsigned last_status = 599;
 constexpr unsigned status_request_timeout = 408;
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_too_many = 429;
@@ -37,7 +39,8 @@
 }
 
 response_status response_status::permit(unsigned wanted, std::span<const not_run_proof> attempts) {
-    if (promises_not_run(wanted) && may_have_run(attempts)) {
+    const bool is_final = wanted >= first_final_status && wanted <= last_status;
+    if (!is_final || (promises_not_run(wanted) && may_have_run(attempts))) {
         return {status_bad_gateway, true};
     }
     return {wanted, false};
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -10,6 +10,7 @@
 namespace endivelever::detail {
 namespace {
 
+constexpr unsigned status_switching_protocols = 101;
 constexpr unsigned first_final_status = 200;
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
@@ -36,6 +37,11 @@
 
 /// @return false to end the transfer
 bool finish_head(transfer_state& it) {
+    // No request asks for another protocol. libcurl takes what follows for the body of this response.
+    it.malformed_head = it.result.status == status_switching_protocols;
+    if (it.malformed_head) {
+        return false;
+    }
     if (it.result.status < first_final_status) {
         it.response_headers.clear();
         it.status_line_done = false;
@@ -93,6 +99,10 @@
         return 0;
     }
     it.last_progress = boot_clock::now();
+    it.malformed_head = !it.head_done;
+    if (it.malformed_head) {
+        return 0; // a body without a final head belongs to no response
+    }
     if (it.handlers.on_body && !it.handlers.on_body(part)) {
         it.paused = true;
         return it.cancelled ? 0 : CURL_WRITEFUNC_PAUSE;
--- a/tests/failure/odd_answers_test.cpp
+++ b/tests/failure/odd_answers_test.cpp
@@ -12,8 +12,17 @@
     const char* name;
     const char* status_line;
     const char* line; ///< behind the status line
+    /// Bytes behind the head that belong to no response.
+    std::size_t foreign_bytes = 0;
 };
 
+/// True if a caller has received the begin of a response that no server may send.
+bool received_odd_head(const keeping_caller& it) {
+    constexpr std::size_t status_end = 12;
+    const std::string head = it.connection == nullptr ? "" : it.connection->received;
+    return head.size() >= status_end && (!head.starts_with("HTTP/1.1 ") || head[9] < '2' || head[9] > '5');
+}
+
 class odd_answer : public testing::TestWithParam<odd_head> {};
 
 // Guards against responses of servers in trouble that end the processes which receive them.
@@ -35,9 +44,16 @@
     fleet.add_callers(20);
     std::size_t arrived = 0;
     std::size_t answered = 0;
+    std::size_t odd_heads = 0;
+    std::map<raw_socket*, std::string> unsent;
     const auto answer = [&](raw_socket& peer, const std::string& id) {
         const bool is_odd = ++arrived % requests_per_odd_answer == 0;
         answered += is_odd ? 1 : 0;
+        if (is_odd && GetParam().foreign_bytes > 0) {
+            unsent[&peer] = std::string(GetParam().status_line) + "\r\n" + GetParam().line + "\r\n" +
+                            std::string(GetParam().foreign_bytes, 'x');
+            return;
+        }
         peer.send_some((is_odd ? std::string(GetParam().status_line) + "\r\n" + GetParam().line
                                : "HTTP/1.1 200 OK\r\n") +
                        "X-Request-Id: " + id + "\r\nContent-Length: 2\r\n\r\nok");
@@ -47,13 +63,20 @@
         for (auto& it : odd) {
             it.serve(answer);
         }
+        for (auto& [peer, bytes] : unsent) {
+            bytes.erase(0, peer->send_some(bytes));
+        }
+        std::erase_if(unsent, [](const auto& it) { return it.second.empty() || it.first->closed(); });
         fleet.play_all();
-        return answered >= odd_answers ||
+        odd_heads += static_cast<std::size_t>(
+            std::count_if(fleet.callers.begin(), fleet.callers.end(), received_odd_head));
+        return answered >= odd_answers || odd_heads > 0 ||
                !std::all_of(fleet.gateways.begin(), fleet.gateways.end(), is_running);
     }));
     for (auto& it : fleet.gateways) {
         EXPECT_TRUE(it.process.running()) << "after " << answered << " odd answers";
     }
+    EXPECT_EQ(0U, odd_heads) << "after " << answered << " odd answers";
     std::set<std::string> ran;
     for (const auto& it : odd) {
         ran.insert(it.ran.begin(), it.ran.end());
@@ -70,7 +93,8 @@
                          testing::Values(odd_head{"folded_status_line", "HTTP/1.1 200 X", " X-Odd: 1\r\n"},
                                          odd_head{"folded_field", "HTTP/1.1 200 X", "X-Odd: 1\r\n 2\r\n"},
                                          odd_head{"status_zero", "HTTP/1.1 000 X", ""},
-                                         odd_head{"blank_in_a_name", "HTTP/1.1 200 X", "X Odd: 1\r\n"}),
+                                         odd_head{"blank_in_a_name", "HTTP/1.1 200 X", "X Odd: 1\r\n"},
+                                         odd_head{"switching_protocols", "HTTP/1.1 101 X", "", 1'500'000}),
                          [](const auto& it) { return it.param.name; });
 
 } // namespace
--- a/tests/unit/run_evidence_test.cpp
+++ b/tests/unit/run_evidence_test.cpp
@@ -40,6 +40,15 @@
     }
 }
 
+// Guards against a number that reaches callers as a status although no final response has it.
+TEST_P(run_evidence, permits_only_statuses_of_final_responses) {
+    for (const unsigned status : {0U, 1U, 99U, 100U, 101U, 199U, 600U, 999U}) {
+        const auto permitted = response_status::permit(status, GetParam().attempts);
+        EXPECT_EQ(502U, permitted.value()) << status;
+        EXPECT_TRUE(permitted.is_replaced()) << status;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(
     attempts, run_evidence,
     testing::Values(evidence_case{"sent_nowhere", {}, false}, evidence_case{"may_have_run", {none}, true},
