--- a/include/endivelever/decide/incarnation_standing.hpp
+++ b/include/endivelever/decide/incarnation_standing.hpp
@@ -7,8 +7,9 @@
 /// Why an incarnation of a server takes no further requests, whatever its entry in the store says.
 enum class incarnation_end : std::uint8_t {
     none,
-    leaving, ///< it says itself that it leaves
-    replaced ///< another instance answers at its address
+    leaving,  ///< it says itself that it leaves
+    replaced, ///< another instance answers at its address
+    removed   ///< its entry was removed, and came back only with an older copy of the store
 };
 
 /// What is known of one incarnation of a server, from all sources.
--- a/include/endivelever/decide/peer_table.hpp
+++ b/include/endivelever/decide/peer_table.hpp
@@ -58,8 +58,8 @@
 /// Versions of the state that a VM holds.
 struct known_versions {
     std::uint64_t routing_version = 0;
-    std::uint64_t servers_revision = 0;
-    std::uint64_t evacuations_revision = 0;
+    object_revision servers_revision{};
+    object_revision evacuations_revision{};
 };
 
 /// Hash of a VM's id. It is uniformly distributed and gives the same result on all VMs.
--- a/include/endivelever/decide/server_registry.hpp
+++ b/include/endivelever/decide/server_registry.hpp
@@ -24,6 +24,12 @@
     auto operator<=>(const server_incarnation&) const = default;
 };
 
+/// An incarnation whose entry was removed from the store.
+struct removed_incarnation {
+    server_incarnation incarnation;
+    time_point removed_at{};
+};
+
 /// An incarnation of which is known that it takes no further requests.
 struct ended_incarnation {
     server_incarnation incarnation;
@@ -36,6 +42,9 @@
     std::map<server_id, registry_entry> entries;
     /// Incarnations that have ended by what servers have answered, whatever their entries say.
     std::map<server_id, ended_incarnation> ended;
+    /// Entries that were removed lately, in case that the store comes back from a copy that still has them.
+    std::map<server_id, removed_incarnation> removed;
+    bool is_reading_copy = false;         ///< between begin_copy() and end_copy()
     bool loaded = false;                  ///< a complete list has been applied
     bool store_unavailable = false;       ///< the last call of this VM to the store failed
     time_point store_unavailable_since{}; ///< first of the failed calls
@@ -66,6 +75,16 @@
 /// Forgets the state of the store, when this VM no longer calls it.
 void forget_store_state(server_registry& registry);
 
+/// How long a removed entry is remembered. A copy from which the store comes back is some seconds old.
+constexpr duration removal_memory = std::chrono::seconds(60);
+
+/// Begins to apply the first list after the store came back from an older copy. What this VM knows outranks
+/// the copy: a server that was draining stays so, one whose entry was removed takes no request until the
+/// store writes its entry again or it answers itself, and an earlier incarnation replaces no later one.
+/// Entries that the copy lacks are missing for reregistration_time, as after an outage.
+void begin_copy(server_registry& registry, time_point now);
+void end_copy(server_registry& registry);
+
 /// Applies a complete list of the registered servers. Entries that are not listed are treated as in
 /// apply_removed().
 void apply_listed(server_registry& registry, const std::vector<registered_server>& listed, time_point now);
@@ -103,7 +122,7 @@
 bool note_replaced(server_registry& registry, const server_id& id, const server_incarnation& replaced);
 
 /// Records that an incarnation has answered itself.
-/// @return true if it had counted as replaced
+/// @return true if it had counted as replaced or removed
 bool note_answered(server_registry& registry, const server_id& id, const server_incarnation& alive);
 
 /// Removes one entry. During and shortly after a store outage, an entry of a server that is not draining is
--- a/include/endivelever/gateway/board.hpp
+++ b/include/endivelever/gateway/board.hpp
@@ -52,6 +52,9 @@
 struct evacuation_state {
     object_revision revision; ///< 0 until the state is known
     std::set<failure_domain> domains;
+    /// Evacuated domains that a copy lacks from which the store came back, and until when they stay evacuated
+    /// unless operators write them again.
+    std::map<failure_domain, time_point> unconfirmed;
 };
 
 inline bool is_known(const evacuation_state& state) {
@@ -66,7 +69,7 @@
 
 /// Compressed response with server entries, cached because several peers request the same one.
 struct compressed_changes {
-    std::uint64_t since = 0;  ///< revision that the requesting peer already has
+    object_revision since;    ///< that the requesting peer already has
     object_revision revision; ///< of this VM's server list when the response was made
     time_point compressed_at{};
     std::string body; ///< empty if nothing is cached
--- a/include/endivelever/gateway/controllers.hpp
+++ b/include/endivelever/gateway/controllers.hpp
@@ -107,6 +107,9 @@
 // State from the object store.
 /// Starts or stops this VM's watches on the store according to its duties.
 void update_watches(gateway_board& board);
+/// Ends what was based on an earlier era of the store: lists and watches begin anew, and this VM looks
+/// whether its entry is still stored. Called when a later era becomes known.
+void begin_store_era(gateway_board& board, store_era before);
 /// Writes this VM's entry into the store.
 void register_vm(gateway_board& board);
 /// Reads configuration and server entries once after a restart: a head at once, another VM if it did not get
@@ -134,10 +137,15 @@
 // Evacuations and cold servers.
 /// True if the settings of this deployment bound how fast evacuations have to be in force.
 bool tracks_evacuations(const gateway_board& board);
-/// Applies the evacuated failure domains if `revision` is newer than that of the known ones.
+/// Applies the evacuated failure domains if `revision` is newer than that of the known ones. Known ones that
+/// are missing in the first state of a new era stay evacuated until operators had time to write them again.
 /// @param source  where they were read, for the log
 void apply_evacuations(gateway_board& board, std::set<failure_domain> domains, object_revision revision,
                        std::string_view source);
+/// Ends evacuations that operators have not written again in time after the store came back from a copy.
+void drop_unconfirmed_evacuations(gateway_board& board, time_point now);
+/// True if the servers of a failure domain get no requests.
+bool is_evacuated(const gateway_board& board, const failure_domain& domain);
 /// Records how much longer a server stays cold; 0 if it is not cold.
 void note_cold_server(gateway_board& board, const gateway_service& service, server_view& view, duration left);
 /// Treats a server as just started.
--- a/include/endivelever/store/object_listing.hpp
+++ b/include/endivelever/store/object_listing.hpp
@@ -21,7 +21,8 @@
 /// Adds the next page. The page after it begins behind the last name that a request can hold as it is, so
 /// that odd names of other writers stay out of requests where possible; objects behind that name are read
 /// again.
-/// @return an error if the page contains no object that has not been listed, so that the list would not end
+/// @return an error if the page contains no object that has not been listed, so that the list would not end,
+/// or if the store gave it in another era than the first page
 result<void> add_page(object_listing& listing, object_page page);
 
 } // namespace endivelever
--- a/include/endivelever/store/object_protocol.hpp
+++ b/include/endivelever/store/object_protocol.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "endivelever/base/object_revision.hpp"
 #include "endivelever/base/result.hpp"
 #include "endivelever/base/time.hpp"
 #include "endivelever/net/http_client.hpp"
@@ -7,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,9 +17,6 @@
 /// Type of object in a store that identifies objects by kind and name.
 using object_kind = strong_id<struct object_kind_tag>;
 
-/// Revision of the whole store; increases with every change to any object. 0 means unknown.
-using object_revision = strong_number<struct object_revision_tag, std::uint64_t>;
-
 /// One object as read from the store.
 struct stored_object {
     std::string name;
@@ -44,7 +43,7 @@
 };
 
 /// Builds the requests of a store and parses its responses. The adapter of a platform supplies the functions;
-/// the caller sets timeouts and does the retries.
+/// the caller sets timeouts and does the retries. A response is parsed with the era in which it was given.
 struct object_protocol {
     /// @param after  name of the last object of the previous page; empty for the first page
     std::function<http_request(const object_kind&, const std::string& after)> list;
@@ -65,11 +64,13 @@
                                const nlohmann::json&)>
         replace_if;
     std::function<http_request(const object_kind&, const std::string& name)> read;
-    std::function<result<stored_object>(const std::string& body)> parse_object;
+    std::function<result<stored_object>(const std::string& body, store_era)> parse_object;
     /// Removes an object on condition that its last change has the given revision.
     std::function<http_request(const object_kind&, const std::string& name, object_revision)> remove;
-    std::function<result<object_page>(const std::string& body)> parse_page;
-    std::function<result<object_changes>(const std::string& body)> parse_changes;
+    std::function<result<object_page>(const std::string& body, store_era)> parse_page;
+    std::function<result<object_changes>(const std::string& body, store_era)> parse_changes;
+    /// Era that the head of a response names; nullopt if it names none.
+    std::function<std::optional<store_era>(const http_headers&)> read_era;
 };
 
 } // namespace endivelever
--- a/include/endivelever/store/object_reflector.hpp
+++ b/include/endivelever/store/object_reflector.hpp
@@ -3,33 +3,16 @@
 #include "endivelever/base/random.hpp"
 #include "endivelever/net/event_loop.hpp"
 #include "endivelever/store/object_listing.hpp"
-#include "endivelever/store/object_protocol.hpp"
+#include "endivelever/store/object_store_access.hpp"
 
 #include <functional>
 #include <optional>
 
 namespace endivelever {
 
-/// Counters of the calls of one process to an object store.
-struct object_store_counts {
-    std::uint64_t calls = 0;
-    std::uint64_t failures = 0;
-    std::uint64_t lists = 0;   ///< pages of lists requested
-    std::uint64_t changes = 0; ///< watch responses with at least one change
-};
-
-/// Connection to an object store, shared by all reflectors of a process.
-struct object_store_access {
-    struct ev_loop* loop = nullptr;
-    http_client* client = nullptr;
-    random_source* random = nullptr;
-    object_protocol protocol;
-    object_store_counts counts;
-};
-
 /// Reports all objects of one kind and their changes: lists the objects, then watches from the revision of
-/// the list. Lists again when the store no longer has the history since that revision, or when a call failed.
-/// Failed calls are retried after an exponential back-off with jitter.
+/// the list. Lists again when the store no longer has the history since that revision, when it begins a new
+/// era, or when a call failed. Failed calls are retried after an exponential back-off with jitter.
 class object_reflector {
   public:
     enum class freshness {
@@ -54,7 +37,7 @@
     object_reflector(object_reflector&&) = delete;
     object_reflector& operator=(object_reflector&&) = delete;
 
-    /// Cancels the call in progress and lists again at once.
+    /// Cancels the call in progress and lists again at once. Replies that were due are ignored.
     void relist();
     /// Asks the store for changes that the waiting watch has not reported. A watch that waits does not show
     /// that its connection still delivers anything. Changes found are reported as if the watch had returned
@@ -70,11 +53,12 @@
   private:
     void list_next_page();
     void watch();
-    void handle_page(const http_reply& reply);
-    void handle_changes(const http_reply& reply);
-    void handle_check(const http_reply& reply, object_revision since, time_point started, freshness wanted);
+    void handle_page(const store_reply& reply);
+    void handle_changes(const store_reply& reply);
+    void handle_check(const store_reply& reply, object_revision since, time_point started, freshness wanted);
     void handle_failure(const std::string& cause);
-    void send(http_request request, void (object_reflector::*on_reply)(const http_reply&));
+    void list_later();
+    void send(http_request request, void (object_reflector::*on_reply)(const store_reply&));
 
     object_store_access& m_access;
     object_kind m_kind;
@@ -88,7 +72,8 @@
     time_point m_read_current_at{};
     object_revision m_revision;
     duration m_back_off;
-    bool m_has_list = false; ///< false while the next call is a list
+    bool m_has_list = false;      ///< false while the next call is a list
+    std::uint64_t m_relisted = 0; ///< calls of relist()
 };
 
 } // namespace endivelever
--- a/include/endivelever/wire/messages.hpp
+++ b/include/endivelever/wire/messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivelever/base/ids.hpp"
+#include "endivelever/base/object_revision.hpp"
 #include "endivelever/base/result.hpp"
 #include "endivelever/base/time.hpp"
 
@@ -94,7 +95,7 @@
 
 /// Lease on one shard of the tenants, as known to the sender of a status.
 struct quota_lease_status {
-    std::uint64_t revision = 0; ///< of the lease's object in the store
+    std::uint64_t revision = 0; ///< of the lease's object in the store, in the era of the status
     std::uint64_t holder = 0;   ///< hash of the holder's id
     std::uint8_t shard = 0;
     bool released = false; ///< the holder grants nothing more
@@ -140,9 +141,9 @@
     endivelever::failure_domain failure_domain;
     std::string caller_address;
     std::string peer_address;
-    std::string relay_address;          ///< serves configuration and server entries to peers
-    std::uint64_t routing_version = 0;  ///< version of the routing configuration in force; 0 if none
-    std::uint64_t servers_revision = 0; ///< store revision of the server entries; 0 if none
+    std::string relay_address;         ///< serves configuration and server entries to peers
+    std::uint64_t routing_version = 0; ///< version of the routing configuration in force; 0 if none
+    object_revision servers_revision;  ///< of the server entries; 0 if none
     /// Collects the state of its failure domain. Only a head sets the fields about the store and the fleet.
     bool is_head = false;
     bool store_answers = false;                ///< the store answered the sender's last call
@@ -153,13 +154,14 @@
     std::uint32_t capacity = 0; ///< processor share in hundredths of a core
     /// Milliseconds since the store is known to have held nothing newer than the versions above.
     std::uint32_t knowledge_age_ms = std::numeric_limits<std::uint32_t>::max();
-    std::uint64_t evacuations_revision = 0; ///< store revision of the evacuations; 0 if they are not known
+    object_revision evacuations_revision; ///< of the evacuations; 0 if they are not known
     std::vector<endivelever::failure_domain>
         evacuated_domains;                        ///< failure domains whose servers get no requests
     std::vector<status_echo> echoes;              ///< VMs heard lately
-    std::vector<quota_lease_status> quota_leases; ///< known to the sender
+    std::vector<quota_lease_status> quota_leases; ///< known to the sender, written in store_era
     /// Milliseconds since the routing configuration of the sender is proven to have been in force.
     std::uint32_t proof_age_ms = std::numeric_limits<std::uint32_t>::max();
+    endivelever::store_era store_era; ///< latest that the sender knows
 };
 
 using message =
--- a/src/decide/peer_table.cpp
+++ b/src/decide/peer_table.cpp
@@ -94,6 +94,12 @@
     return found;
 }
 
+/// True if the revision that a peer names is the own one or an earlier one of the same era. A peer that knows
+/// another era has not read what this VM holds, or the other way round.
+bool is_covered(const object_revision& named, const object_revision& own) {
+    return named.era == own.era && named <= own;
+}
+
 /// Number of VMs of the own failure domain that take over the watch of the store before this one: the heads,
 /// and then the other VMs that serve callers. VMs that were removed or have failed serve nobody and delay
 /// nobody.
@@ -229,8 +235,8 @@
     const auto& status = from.status;
     const bool is_known = status.state == member_state::live && status.routing_version != 0 &&
                           status.routing_version <= own.routing_version &&
-                          status.servers_revision <= own.servers_revision &&
-                          status.evacuations_revision <= own.evacuations_revision;
+                          is_covered(status.servers_revision, own.servers_revision) &&
+                          is_covered(status.evacuations_revision, own.evacuations_revision);
     if (from.last_heard == time_point{} || !is_known) {
         return;
     }
--- a/src/decide/server_registry.cpp
+++ b/src/decide/server_registry.cpp
@@ -27,11 +27,30 @@
     }
 }
 
+server_incarnation incarnation_of(const registered_server& server) {
+    return {server.address, server.start_ms};
+}
+
+void remember_removal(server_registry& registry, const registered_server& server, time_point now) {
+    if (registry.removed.size() >= max_ended_servers) {
+        std::erase_if(registry.removed,
+                      [now](const auto& it) { return now - it.second.removed_at > removal_memory; });
+    }
+    if (registry.removed.size() < max_ended_servers) {
+        registry.removed[server.id] = {incarnation_of(server), now};
+    }
+}
+
+std::map<server_id, registry_entry>::iterator
+erase_entry(server_registry& registry, std::map<server_id, registry_entry>::iterator it, time_point now) {
+    remember_removal(registry, it->second.server, now);
+    return registry.entries.erase(it);
+}
+
 void store_entry(server_registry& registry, const registered_server& server) {
     registry.entries[server.id] = {server, false, {}};
     const auto known = registry.ended.find(server.id);
-    if (known != registry.ended.end() &&
-        known->second.incarnation != server_incarnation{server.address, server.start_ms}) {
+    if (known != registry.ended.end() && known->second.incarnation != incarnation_of(server)) {
         registry.ended.erase(known); // the next incarnation has taken its place
     }
 }
@@ -55,8 +74,7 @@
 
 incarnation_end end_of(const server_registry& registry, const registered_server& server) {
     const auto known = registry.ended.find(server.id);
-    const bool applies = known != registry.ended.end() &&
-                         known->second.incarnation == server_incarnation{server.address, server.start_ms};
+    const bool applies = known != registry.ended.end() && known->second.incarnation == incarnation_of(server);
     return applies ? known->second.end : incarnation_end::none;
 }
 
@@ -64,6 +82,43 @@
     return server.draining || end_of(registry, server) == incarnation_end::leaving;
 }
 
+/// True if an entry of a copy is of an earlier incarnation than the one that this VM knows.
+bool is_outdated(const server_registry& registry, const registered_server& server) {
+    const auto known = registry.entries.find(server.id);
+    return registry.is_reading_copy && known != registry.entries.end() &&
+           known->second.server.start_ms > server.start_ms;
+}
+
+void store_listed(server_registry& registry, const registered_server& server, time_point now) {
+    const auto removed = registry.removed.find(server.id);
+    const bool was_removed = registry.is_reading_copy && removed != registry.removed.end() &&
+                             !registry.entries.contains(server.id) &&
+                             removed->second.incarnation == incarnation_of(server) &&
+                             now - removed->second.removed_at <= removal_memory;
+    store_entry(registry, server);
+    if (was_removed && end_of(registry, server) == incarnation_end::none) {
+        note_ended(registry, server.id, {incarnation_of(server), incarnation_end::removed});
+    }
+}
+
+/// @return ids of the servers that the list shows to be registered
+std::set<server_id> store_all(server_registry& registry, const std::vector<registered_server>& listed,
+                              time_point now) {
+    std::set<server_id> present;
+    for (const auto& it : listed) {
+        if (!is_outdated(registry, it)) {
+            present.insert(it.id);
+            store_listed(registry, it, now);
+        }
+    }
+    return present;
+}
+
+/// True if the store or the server itself can show that the incarnation still lives.
+bool is_refutable(incarnation_end end) {
+    return end == incarnation_end::replaced || end == incarnation_end::removed;
+}
+
 /// Latest start that the store lists at each address. Entries that are missing are not listed.
 std::map<socket_address, std::int64_t> latest_starts(const server_registry& registry) {
     std::map<socket_address, std::int64_t> latest;
@@ -129,13 +184,23 @@
     return missing;
 }
 
+void begin_copy(server_registry& registry, time_point now) {
+    registry.is_reading_copy = true;
+    registry.store_available_since = now;
+    for (const auto& it : registry.entries) {
+        if (it.second.server.draining) {
+            note_ended(registry, it.first, {incarnation_of(it.second.server), incarnation_end::leaving});
+        }
+    }
+}
+
+void end_copy(server_registry& registry) {
+    registry.is_reading_copy = false;
+}
+
 void apply_peer_list(server_registry& registry, const std::vector<registered_server>& listed,
                      const expired_servers& expired, time_point now) {
-    std::set<server_id> present;
-    for (const auto& it : listed) {
-        present.insert(it.id);
-        store_entry(registry, it);
-    }
+    const auto present = store_all(registry, listed, now);
     std::vector<server_id> removed;
     for (const auto& it : registry.entries) {
         if (!present.contains(it.first)) {
@@ -156,7 +221,11 @@
         return;
     }
     if (kept == expired.end()) {
-        registry.entries.erase(found);
+        if (registry.is_reading_copy && !is_draining(registry, found->second.server)) {
+            mark_missing(registry, found->second, now);
+        } else {
+            erase_entry(registry, found, now);
+        }
     } else if (!found->second.missing) {
         found->second.missing = true;
         found->second.missing_until = now + kept->second;
@@ -164,11 +233,7 @@
 }
 
 void apply_listed(server_registry& registry, const std::vector<registered_server>& listed, time_point now) {
-    std::set<server_id> present;
-    for (const auto& it : listed) {
-        present.insert(it.id);
-        store_entry(registry, it);
-    }
+    const auto present = store_all(registry, listed, now);
     for (auto it = registry.entries.begin(); it != registry.entries.end();) {
         if (present.contains(it->first)) {
             ++it;
@@ -176,7 +241,7 @@
             mark_missing(registry, it->second, now);
             ++it;
         } else {
-            it = registry.entries.erase(it);
+            it = erase_entry(registry, it, now);
         }
     }
     registry.loaded = true;
@@ -184,7 +249,7 @@
 
 void apply_changed(server_registry& registry, const registered_server& server) {
     const auto known = registry.ended.find(server.id);
-    if (known != registry.ended.end() && known->second.end == incarnation_end::replaced) {
+    if (known != registry.ended.end() && is_refutable(known->second.end)) {
         registry.ended.erase(known);
     }
     store_entry(registry, server);
@@ -204,7 +269,7 @@
 
 bool note_answered(server_registry& registry, const server_id& id, const server_incarnation& alive) {
     const auto known = registry.ended.find(id);
-    if (known == registry.ended.end() || known->second.end != incarnation_end::replaced ||
+    if (known == registry.ended.end() || !is_refutable(known->second.end) ||
         known->second.incarnation != alive) {
         return false;
     }
@@ -220,7 +285,7 @@
     if (may_have_expired(registry, now) && !is_draining(registry, found->second.server)) {
         mark_missing(registry, found->second, now);
     } else {
-        registry.entries.erase(found);
+        erase_entry(registry, found, now);
     }
 }
 
@@ -228,9 +293,13 @@
     if (registry.store_unavailable) {
         return false;
     }
-    return std::erase_if(registry.entries, [now](const auto& it) {
-               return it.second.missing && now >= it.second.missing_until;
-           }) > 0;
+    bool dropped = false;
+    for (auto it = registry.entries.begin(); it != registry.entries.end();) {
+        const bool is_due = it->second.missing && now >= it->second.missing_until;
+        dropped = dropped || is_due;
+        it = is_due ? erase_entry(registry, it, now) : std::next(it);
+    }
+    return dropped;
 }
 
 std::vector<registered_server> servers_of(const server_registry& registry, const service_id& service) {
--- a/src/gateway/evacuation.cpp
+++ b/src/gateway/evacuation.cpp
@@ -11,6 +11,7 @@
     write_event(board.log, evacuated ? "domain_evacuated" : "domain_readmitted",
                 {{"domain", domain.text},
                  {"source", source},
+                 {"era", static_cast<std::int64_t>(board.evacuations.revision.era.value)},
                  {"revision", static_cast<std::int64_t>(board.evacuations.revision.value)}});
 }
 
@@ -43,31 +44,25 @@
            before.statement != it.statement || before.warm_up_left != it.warm_up_left;
 }
 
-} // namespace
-
-bool tracks_evacuations(const gateway_board& board) {
-    return board.conf.evacuation_limit > duration::zero();
+std::set<failure_domain> evacuated_domains(const evacuation_state& state) {
+    auto domains = state.domains;
+    for (const auto& it : state.unconfirmed) {
+        domains.insert(it.first);
+    }
+    return domains;
 }
 
-void apply_evacuations(gateway_board& board, std::set<failure_domain> domains, object_revision revision,
-                       std::string_view source) {
-    auto& state = board.evacuations;
-    if (!tracks_evacuations(board) || revision <= state.revision) {
-        return;
-    }
-    const bool was_known = is_known(state);
-    state.revision = revision;
-    const auto before = std::exchange(state.domains, std::move(domains));
-    if (before == state.domains && was_known) {
-        return;
-    }
+/// Logs and applies what has changed since `before`, and reports it to peers.
+void apply_evacuation_changes(gateway_board& board, const std::set<failure_domain>& before,
+                              std::string_view source) {
+    const auto domains = evacuated_domains(board.evacuations);
     std::vector<failure_domain> readmitted;
-    std::set_difference(before.begin(), before.end(), state.domains.begin(), state.domains.end(),
+    std::set_difference(before.begin(), before.end(), domains.begin(), domains.end(),
                         std::back_inserter(readmitted));
     for (const auto& it : readmitted) {
         log_evacuation(board, it, false, source);
     }
-    for (const auto& it : state.domains) {
+    for (const auto& it : domains) {
         if (!before.contains(it)) {
             log_evacuation(board, it, true, source);
         }
@@ -85,6 +80,47 @@
     send_status(board, true);
 }
 
+} // namespace
+
+bool tracks_evacuations(const gateway_board& board) {
+    return board.conf.evacuation_limit > duration::zero();
+}
+
+void apply_evacuations(gateway_board& board, std::set<failure_domain> domains, object_revision revision,
+                       std::string_view source) {
+    auto& state = board.evacuations;
+    if (!tracks_evacuations(board) || revision <= state.revision) {
+        return;
+    }
+    const bool was_known = is_known(state);
+    const auto before = evacuated_domains(state);
+    if (was_known && revision.era > state.revision.era) {
+        const auto until = boot_clock::now() + reregistration_time;
+        for (const auto& it : state.domains) {
+            state.unconfirmed[it] = until;
+        }
+    }
+    state.revision = revision;
+    state.domains = std::move(domains);
+    std::erase_if(state.unconfirmed, [&state](const auto& it) { return state.domains.contains(it.first); });
+    if (was_known && before == evacuated_domains(state)) {
+        return;
+    }
+    apply_evacuation_changes(board, before, source);
+}
+
+void drop_unconfirmed_evacuations(gateway_board& board, time_point now) {
+    const auto before = evacuated_domains(board.evacuations);
+    if (std::erase_if(board.evacuations.unconfirmed, [now](const auto& it) { return now >= it.second; }) >
+        0) {
+        apply_evacuation_changes(board, before, "copy");
+    }
+}
+
+bool is_evacuated(const gateway_board& board, const failure_domain& domain) {
+    return board.evacuations.domains.contains(domain) || board.evacuations.unconfirmed.contains(domain);
+}
+
 void note_cold_server(gateway_board& board, const gateway_service& service, server_view& view,
                       duration left) {
     if (service.warm_up_rate <= 0.0 || !board.conf.warm_up_overage) {
@@ -114,7 +150,7 @@
                         const std::map<server_id, listed_server>& known) {
     const auto now = boot_clock::now();
     for (auto& view : service.pool.servers) {
-        view.evacuated = board.evacuations.domains.contains(view.listed.failure_domain);
+        view.evacuated = is_evacuated(board, view.listed.failure_domain);
         const auto before = known.find(view.listed.id);
         if (before == known.end() || is_new_statement(before->second, view.listed)) {
             note_cold_server(board, service, view, view.listed.warm_up_left);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -167,6 +167,7 @@
         update_watches(board);
         check_store(board, boot_clock::now());
         request_initial_state(board, boot_clock::now());
+        drop_unconfirmed_evacuations(board, boot_clock::now());
         maintain_quota_leases(board, boot_clock::now());
     });
     status_timer->start(status_check_interval, status_check_interval);
@@ -224,6 +225,7 @@
     board.store_access.client = board.store_http_client.get();
     board.store_access.random = &board.random;
     board.store_access.protocol = board.dialect.store;
+    board.store_access.on_new_era = [&board](store_era before) { begin_store_era(board, before); };
     board.peers.own = {board.conf.vm, board.conf.failure_domain, board.conf.peer_address.text,
                        board.conf.capacity};
     board.peers.own_caller_address = board.conf.caller_address.text;
--- a/src/gateway/peer_sync.cpp
+++ b/src/gateway/peer_sync.cpp
@@ -15,6 +15,7 @@
 constexpr const char* routing_path = "/peer/routing";
 constexpr const char* servers_path = "/peer/servers";
 constexpr const char* since_parameter = "?since=";
+constexpr const char* era_parameter = "&era=";
 // A peer in the same failure domain usually responds in milliseconds, but a large configuration takes longer.
 constexpr duration pull_timeout = 1500ms;
 // A pull that takes longer may never end: its connection can be dead or its peer paused. A second one
@@ -55,14 +56,14 @@
     return code == Z_OK && size == length ? json::parse(text, nullptr, false) : json();
 }
 
-std::string make_servers_response(const gateway_board& board, std::uint64_t since) {
+std::string make_servers_response(const gateway_board& board, object_revision since) {
     const auto now = boot_clock::now();
     const auto& recent = board.recent_server_changes;
-    const bool is_delta = since >= board.recent_changes_start.value && since != 0;
+    const bool is_delta = since >= board.recent_changes_start && since.value != 0;
     json changed = json::array();
     if (is_delta) {
         for (const auto& it : recent) {
-            if (it.revision.value > since) {
+            if (it.revision > since) {
                 changed.push_back({{"name", it.change.object.name},
                                    {"removed", it.change.removed},
                                    {"content", it.change.object.content}});
@@ -79,6 +80,7 @@
     }
     // VMs of earlier builds require the two fields about the store.
     const json body{{"revision", board.servers_revision.value},
+                    {"era", board.servers_revision.era.value},
                     {"complete", !is_delta},
                     {"expired_ms", std::move(expired)},
                     {"store_away", board.registry.store_unavailable},
@@ -110,8 +112,13 @@
     return expired;
 }
 
+/// VMs of earlier builds name no era.
+object_revision read_revision(const json& body) {
+    return {store_era{body.value("era", std::uint64_t{0})}, body.at("revision").get<std::uint64_t>()};
+}
+
 void apply_servers_response(gateway_board& board, const json& body, const std::string& /*source*/) {
-    const object_revision revision{body.at("revision").get<std::uint64_t>()};
+    const auto revision = read_revision(body);
     if (revision <= board.servers_revision) {
         return;
     }
@@ -133,7 +140,7 @@
     stored_object object;
     object.name = board.dialect.routing_object;
     object.content = body.at("content");
-    apply_routing(board, object, object_revision{body.at("revision").get<std::uint64_t>()}, source);
+    apply_routing(board, object, read_revision(body), source);
 }
 
 void pull(gateway_board& board, const std::string& address, std::string target, peer_pulls& pulls,
@@ -178,7 +185,7 @@
 
 /// @return the compressed response for peers that have revision `since`. It is cached because all VMs of a
 /// domain request the same changes at the same time.
-const std::string& cached_servers_response(gateway_board& board, std::uint64_t since) {
+const std::string& cached_servers_response(gateway_board& board, object_revision since) {
     const auto now = boot_clock::now();
     auto& it = board.compressed_servers;
     const bool is_current = !it.body.empty() && it.since == since && it.revision == board.servers_revision &&
@@ -189,6 +196,13 @@
     return it.body;
 }
 
+/// @return the number behind a parameter of a target; 0 if it is missing
+std::uint64_t read_parameter(const std::string& target, const char* parameter) {
+    const auto at = target.find(parameter);
+    return at == std::string::npos ? 0
+                                   : std::strtoull(target.c_str() + at + std::strlen(parameter), nullptr, 10);
+}
+
 } // namespace
 
 void pull_if_newer(gateway_board& board, const gateway_status_message& status) {
@@ -196,9 +210,11 @@
     if (status.routing_version > own_version) {
         pull(board, status.relay_address, routing_path, board.routing_pulls, &apply_routing_response);
     }
-    if (status.servers_revision > board.servers_revision.value) {
+    const auto known = board.servers_revision;
+    if (status.servers_revision > known) {
         pull(board, status.relay_address,
-             servers_path + std::string(since_parameter) + std::to_string(board.servers_revision.value),
+             servers_path + std::string(since_parameter) + std::to_string(known.value) + era_parameter +
+                 std::to_string(known.era.value),
              board.servers_pulls, &apply_servers_response);
     }
 }
@@ -212,7 +228,9 @@
     const http_headers headers{{"Content-Type", "application/octet-stream"}};
     if (path == routing_path && board.routes != nullptr) {
         if (board.compressed_routing.empty()) {
-            const json body{{"revision", board.routing_revision.value}, {"content", board.routing_content}};
+            const json body{{"revision", board.routing_revision.value},
+                            {"era", board.routing_revision.era.value},
+                            {"content", board.routing_content}};
             board.compressed_routing =
                 compress_text(body.dump(-1, ' ', false, json::error_handler_t::replace));
         }
@@ -221,11 +239,8 @@
     }
     if (path == servers_path && board.registry.loaded) {
         const auto& target = exchange.target();
-        const auto at = target.find(since_parameter);
-        const auto since =
-            at == std::string::npos
-                ? 0
-                : std::strtoull(target.c_str() + at + std::strlen(since_parameter), nullptr, 10);
+        const object_revision since{store_era{read_parameter(target, era_parameter)},
+                                    read_parameter(target, since_parameter)};
         exchange.respond(status_ok, headers, cached_servers_response(board, since));
         return true;
     }
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -62,8 +62,8 @@
 }
 
 known_versions own_versions(const gateway_board& board) {
-    return {board.routes == nullptr ? 0 : board.routes->config.version.value, board.servers_revision.value,
-            board.evacuations.revision.value};
+    return {board.routes == nullptr ? 0 : board.routes->config.version.value, board.servers_revision,
+            board.evacuations.revision};
 }
 
 std::uint32_t knowledge_age_ms(const gateway_board& board) {
@@ -100,8 +100,9 @@
     status.peer_address = board.conf.peer_address.text;
     status.relay_address = board.conf.relay_address.text;
     status.routing_version = is_ready(board) ? board.routes->config.version.value : 0;
-    status.servers_revision = board.servers_revision.value;
-    status.evacuations_revision = board.evacuations.revision.value;
+    status.store_era = board.store_access.era;
+    status.servers_revision = board.servers_revision;
+    status.evacuations_revision = board.evacuations.revision;
     status.evacuated_domains.assign(board.evacuations.domains.begin(), board.evacuations.domains.end());
     status.capacity = board.peers.own.capacity;
     status.knowledge_age_ms = knowledge_age_ms(board);
@@ -274,8 +275,9 @@
     if (!merge_status(board.peers, *status, now)) {
         return;
     }
+    note_era(board.store_access, status->store_era);
     apply_evacuations(board, {status->evacuated_domains.begin(), status->evacuated_domains.end()},
-                      object_revision{status->evacuations_revision}, status->vm.text);
+                      status->evacuations_revision, status->vm.text);
     update_confirmations(board.peers, board.peers.peers.at(status->vm), own_versions(board));
     apply_peer_proof(board.currency, *status, hash_of(board.conf.vm), board.own_incarnation,
                      own_versions(board).routing_version);
--- a/src/gateway/quota.cpp
+++ b/src/gateway/quota.cpp
@@ -94,7 +94,7 @@
                         const quota_lease_record& record, time_point started, const http_reply& reply) {
     auto& lease = board.quota.leases.at(shard);
     const bool answered = reply.result.failure == transfer_failure::none;
-    const auto object = answered ? board.dialect.store.parse_object(reply.body)
+    const auto object = answered ? board.dialect.store.parse_object(reply.body, {})
                                  : result<stored_object>(fail("gateway", 3, reply.result.detail));
     if (answered && reply.result.status < first_error_status && object) {
         const bool was_holder = lease.is_holder;
@@ -136,7 +136,7 @@
     auto request = action == quota_lease_action::create
                        ? board.dialect.store.create(kind, lease_name(shard), to_json(record))
                        : board.dialect.store.replace_if(kind, lease_name(shard),
-                                                        object_revision{lease.revision}, to_json(record));
+                                                        object_revision{{}, lease.revision}, to_json(record));
     request.timeout = lease_call_timeout;
     const auto started = boot_clock::now();
     note_write_started(lease, started);
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -24,6 +24,7 @@
 // A peer that is further behind gets the complete list.
 constexpr std::size_t max_logged_changes = 256;
 constexpr unsigned status_ok = 200;
+constexpr unsigned first_error_status = 300;
 constexpr unsigned status_conflict = 409;
 
 void note_store_response(gateway_board& board) {
@@ -261,11 +262,10 @@
 }
 
 void send_store_request(gateway_board& board, http_request request,
-                        std::function<void(const http_reply&)> on_reply,
+                        std::function<void(const store_reply&)> on_reply,
                         duration timeout = store_request_timeout) {
     request.timeout = timeout;
-    ++board.store_access.counts.calls;
-    fetch(*board.store_http_client, std::move(request), max_store_response_size, std::move(on_reply));
+    call_store(board.store_access, std::move(request), max_store_response_size, std::move(on_reply));
 }
 
 void record_server_change(gateway_board& board, const object_change& change, object_revision at) {
@@ -299,6 +299,19 @@
                  {"revision", static_cast<std::int64_t>(object.mod_revision.value)}});
 }
 
+/// Sends a health check to servers that the copy lists although their entries had been removed: only their
+/// own answer tells those that live from those that have left.
+void confirm_removed_servers(gateway_board& board) {
+    for (auto& [id, service] : board.services) {
+        for (auto& view : service.pool.servers) {
+            const auto found = board.registry.ended.find(view.listed.id);
+            if (found != board.registry.ended.end() && found->second.end == incarnation_end::removed) {
+                confirm_server(board, view);
+            }
+        }
+    }
+}
+
 using list_request_factory = std::function<http_request(const object_kind&, const std::string& after)>;
 using list_callback = std::function<void(const std::vector<stored_object>&, object_revision)>;
 
@@ -311,11 +324,12 @@
     send_store_request(
         board, std::move(request),
         [&board, kind, call, take = std::move(take), on_failure = std::move(on_failure),
-         so_far = std::move(so_far)](const http_reply& reply) mutable {
-            const bool answered =
-                reply.result.failure == transfer_failure::none && reply.result.status == status_ok;
+         so_far = std::move(so_far)](const store_reply& reply) mutable {
+            const auto& transfer = reply.http.result;
+            const bool answered = transfer.failure == transfer_failure::none &&
+                                  transfer.status == status_ok && !reply.is_outdated;
             auto page = answered
-                            ? board.dialect.store.parse_page(reply.body)
+                            ? board.dialect.store.parse_page(reply.http.body, reply.era)
                             : result<object_page>(fail("gateway", 1, "object store did not return a list"));
             const auto added = std::move(page).and_then(
                 [&so_far](object_page it) { return add_page(so_far, std::move(it)); });
@@ -323,8 +337,9 @@
                 count(board, "store_failures_total");
                 write_event(board.log, "store_list_failed",
                             {{"kind", kind.text},
-                             {"status", static_cast<std::int64_t>(reply.result.status)},
-                             {"cause", answered ? added.error().message : reply.result.detail}});
+                             {"status", static_cast<std::int64_t>(transfer.status)},
+                             {"outdated", reply.is_outdated},
+                             {"cause", answered ? added.error().message : transfer.detail}});
                 on_failure();
                 return;
             }
@@ -385,11 +400,18 @@
         }
     }
     const auto now = boot_clock::now();
+    const bool is_copy = board.registry.loaded && at.era > board.servers_revision.era;
+    if (is_copy) {
+        begin_copy(board.registry, now);
+    }
     if (expired != nullptr) {
         apply_peer_list(board.registry, listed, *expired, now);
     } else {
         apply_listed(board.registry, listed, now);
     }
+    if (is_copy) {
+        end_copy(board.registry);
+    }
     board.server_objects.clear();
     for (const auto& it : objects) {
         board.server_objects[it.name] = it.content;
@@ -399,8 +421,12 @@
     board.servers_revision = at;
     write_event(board.log, "servers_listed",
                 {{"entries", static_cast<std::int64_t>(listed.size())},
+                 {"era", static_cast<std::int64_t>(at.era.value)},
                  {"revision", static_cast<std::int64_t>(at.value)}});
     update_pools(board);
+    if (is_copy) {
+        confirm_removed_servers(board);
+    }
     send_status(board, true);
 }
 
@@ -442,20 +468,42 @@
     }
 }
 
+void begin_store_era(gateway_board& board, store_era before) {
+    write_event(board.log, "store_era",
+                {{"era", static_cast<std::int64_t>(board.store_access.era.value)},
+                 {"before", static_cast<std::int64_t>(before.value)},
+                 {"servers_revision", static_cast<std::int64_t>(board.servers_revision.value)},
+                 {"evacuations_revision", static_cast<std::int64_t>(board.evacuations.revision.value)},
+                 {"watches", board.duties.watches}});
+    for (auto* it : reflectors(board)) {
+        if (it->revision().value != 0 && it->revision().era < board.store_access.era) {
+            it->relist();
+        }
+    }
+    if (before != store_era{}) {
+        count(board, "store_eras_total");
+        board.registered = false; // the copy may lack the entry; the next list shows it
+    }
+}
+
 void register_vm(gateway_board& board) {
     auto request =
         board.dialect.store.create(board.dialect.vm_kind, board.conf.vm.text, own_registration(board));
-    send_store_request(board, std::move(request), [&board](const http_reply& reply) {
-        if (reply.result.status != status_conflict) {
-            board.registered = reply.result.failure == transfer_failure::none && reply.result.status < 300;
+    const auto is_stored = [](const store_reply& reply) {
+        const auto& transfer = reply.http.result;
+        return transfer.failure == transfer_failure::none && transfer.status < first_error_status &&
+               !reply.is_outdated;
+    };
+    send_store_request(board, std::move(request), [&board, is_stored](const store_reply& reply) {
+        if (reply.http.result.status != status_conflict) {
+            board.registered = is_stored(reply);
             return;
         }
         // The entry was written before a restart of this VM, or the response to an earlier write was lost.
         auto update =
             board.dialect.store.replace(board.dialect.vm_kind, board.conf.vm.text, own_registration(board));
-        send_store_request(board, std::move(update), [&board](const http_reply& update_reply) {
-            board.registered =
-                update_reply.result.failure == transfer_failure::none && update_reply.result.status < 300;
+        send_store_request(board, std::move(update), [&board, is_stored](const store_reply& update_reply) {
+            board.registered = is_stored(update_reply);
         });
     });
 }
--- a/src/store/object_listing.cpp
+++ b/src/store/object_listing.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int error_no_progress = 2;
+constexpr int error_era = 3;
 constexpr std::size_t max_plain_bytes = 255;
 
 /// True for a name that a request holds as it is.
@@ -25,6 +26,9 @@
 } // namespace
 
 result<void> add_page(object_listing& listing, object_page page) {
+    if (!listing.objects.empty() && page.revision.era != listing.revision.era) {
+        return fail("store", error_era, "a new era began between two pages of a list");
+    }
     std::erase_if(page.objects, [&](const auto& it) { return listing.names.contains(it.name); });
     if (page.has_more && page.objects.empty()) {
         return fail("store", error_no_progress, "list does not go on behind \"" + listing.after + "\"");
--- a/src/store/object_reflector.cpp
+++ b/src/store/object_reflector.cpp
@@ -45,6 +45,7 @@
         m_access.client->cancel(*m_call);
         m_call.reset();
     }
+    ++m_relisted;
     m_has_list = false;
     m_listing = {};
     m_next_call.start(duration::zero());
@@ -58,28 +59,30 @@
         wanted == freshness::current ? m_access.protocol.changes : m_access.protocol.changes_stale;
     auto request = make_request(m_kind, m_revision);
     request.timeout = timeout;
-    ++m_access.counts.calls;
-    m_check = fetch(*m_access.client, std::move(request), max_reply_size,
-                    [this, wanted, since = m_revision, started = boot_clock::now()](const http_reply& reply) {
-                        m_check.reset();
-                        handle_check(reply, since, started, wanted);
-                    });
+    m_check = call_store(m_access, std::move(request), max_reply_size,
+                         [this, wanted, since = m_revision, started = boot_clock::now()](const auto& reply) {
+                             m_check.reset();
+                             if (reply.era == since.era) { // otherwise a list follows
+                                 handle_check(reply, since, started, wanted);
+                             }
+                         });
 }
 
-void object_reflector::handle_check(const http_reply& reply, object_revision since, time_point started,
+void object_reflector::handle_check(const store_reply& reply, object_revision since, time_point started,
                                     freshness wanted) {
-    if (reply.result.failure != transfer_failure::none) {
-        m_callbacks.on_check_failed(reply.result.detail);
+    const auto& transfer = reply.http.result;
+    if (transfer.failure != transfer_failure::none) {
+        m_callbacks.on_check_failed(transfer.detail);
         return;
     }
-    if (reply.result.status == status_gone) {
+    if (transfer.status == status_gone) {
         m_callbacks.on_check_passed();
         relist();
         return;
     }
-    auto changes = reply.result.status == status_ok
-                       ? m_access.protocol.parse_changes(reply.body)
-                       : fail("store", 1, "status " + std::to_string(reply.result.status));
+    auto changes = transfer.status == status_ok
+                       ? m_access.protocol.parse_changes(reply.http.body, reply.era)
+                       : fail("store", 1, "status " + std::to_string(transfer.status));
     if (!changes) {
         m_callbacks.on_check_failed(changes.error().message);
         return;
@@ -104,18 +107,22 @@
     m_callbacks.on_check_passed();
 }
 
-void object_reflector::send(http_request request, void (object_reflector::*on_reply)(const http_reply&)) {
-    ++m_access.counts.calls;
+void object_reflector::send(http_request request, void (object_reflector::*on_reply)(const store_reply&)) {
     request.keep_alive_interval = keep_alive_interval;
-    m_call = fetch(*m_access.client, std::move(request), max_reply_size,
-                   [this, on_reply](const http_reply& reply) {
-                       m_call.reset();
-                       if (reply.result.failure != transfer_failure::none) {
-                           handle_failure(reply.result.detail);
-                       } else {
-                           (this->*on_reply)(reply);
-                       }
-                   });
+    m_call = call_store(m_access, std::move(request), max_reply_size,
+                        [this, on_reply, relisted = m_relisted](const store_reply& reply) {
+                            if (relisted != m_relisted) {
+                                return; // this response has begun a new era, and a list follows
+                            }
+                            m_call.reset();
+                            if (reply.http.result.failure != transfer_failure::none) {
+                                handle_failure(reply.http.result.detail);
+                            } else if (reply.is_outdated) {
+                                list_later();
+                            } else {
+                                (this->*on_reply)(reply);
+                            }
+                        });
 }
 
 void object_reflector::list_next_page() {
@@ -134,12 +141,12 @@
     send(std::move(request), &object_reflector::handle_changes);
 }
 
-void object_reflector::handle_page(const http_reply& reply) {
-    if (reply.result.status != status_ok) {
-        handle_failure("status " + std::to_string(reply.result.status));
+void object_reflector::handle_page(const store_reply& reply) {
+    if (reply.http.result.status != status_ok) {
+        handle_failure("status " + std::to_string(reply.http.result.status));
         return;
     }
-    auto page = m_access.protocol.parse_page(reply.body);
+    auto page = m_access.protocol.parse_page(reply.http.body, reply.era);
     if (!page) {
         handle_failure(page.error().message);
         return;
@@ -163,17 +170,17 @@
     m_callbacks.on_list(listed.objects, m_revision);
 }
 
-void object_reflector::handle_changes(const http_reply& reply) {
-    if (reply.result.status == status_gone) {
+void object_reflector::handle_changes(const store_reply& reply) {
+    if (reply.http.result.status == status_gone) {
         m_callbacks.on_answer();
         relist();
         return;
     }
-    if (reply.result.status != status_ok) {
-        handle_failure("status " + std::to_string(reply.result.status));
+    if (reply.http.result.status != status_ok) {
+        handle_failure("status " + std::to_string(reply.http.result.status));
         return;
     }
-    const auto changes = m_access.protocol.parse_changes(reply.body);
+    const auto changes = m_access.protocol.parse_changes(reply.http.body, reply.era);
     if (!changes) {
         handle_failure(changes.error().message);
         return;
@@ -190,13 +197,17 @@
 
 void object_reflector::handle_failure(const std::string& cause) {
     ++m_access.counts.failures;
-    // Retries with a list, which returns at once when the store is back; a watch would wait for a change.
+    list_later();
+    m_callbacks.on_failure(cause);
+}
+
+void object_reflector::list_later() {
+    // A list returns at once when the store is back; a watch would wait for a change.
     m_has_list = false;
     m_listing = {};
     const double jitter = 0.5 + random_unit(*m_access.random);
     m_next_call.start(duration(static_cast<duration::rep>(static_cast<double>(m_back_off.count()) * jitter)));
     m_back_off = std::min(m_back_off * 2, max_back_off);
-    m_callbacks.on_failure(cause);
 }
 
 } // namespace endivelever
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -111,11 +111,12 @@
         held.emplace_back(it.revision, it.holder, it.shard, it.released);
     }
     const auto leases = out.CreateVectorOfStructs(held);
-    return fb::CreateGatewayStatus(out, vm, value.life.value, value.sequence, to_fb(value.state), domain,
-                                   caller, peer, relay, value.routing_version, value.servers_revision,
-                                   value.is_head, value.store_answers, value.fleet_size, near, far,
-                                   value.store_heard, value.capacity, value.knowledge_age_ms,
-                                   value.evacuations_revision, evacuated, echoes, leases, value.proof_age_ms)
+    return fb::CreateGatewayStatus(
+               out, vm, value.life.value, value.sequence, to_fb(value.state), domain, caller, peer, relay,
+               value.routing_version, value.servers_revision.value, value.is_head, value.store_answers,
+               value.fleet_size, near, far, value.store_heard, value.capacity, value.knowledge_age_ms,
+               value.evacuations_revision.value, evacuated, echoes, leases, value.proof_age_ms,
+               value.store_era.value, value.servers_revision.era.value, value.evacuations_revision.era.value)
         .Union();
 }
 
@@ -286,7 +287,7 @@
         in.name(value->peer_address()),
         in.name(value->relay_address()),
         value->routing_version(),
-        value->servers_revision(),
+        object_revision{store_era{value->servers_era()}, value->servers_revision()},
         value->is_head(),
         value->store_answers(),
         value->fleet_size(),
@@ -295,11 +296,12 @@
         value->store_heard(),
         value->capacity(),
         value->knowledge_age_ms(),
-        value->evacuations_revision(),
+        object_revision{store_era{value->evacuations_era()}, value->evacuations_revision()},
         in.list(value->evacuated_domains(), wire_limits::failure_domains, "evacuated domains", domain),
         in.list(value->echoes(), wire_limits::members, "echoes", echo),
         in.list(value->quota_leases(), wire_limits::quota_shards, "quota leases", lease),
-        value->proof_age_ms()};
+        value->proof_age_ms(),
+        store_era{value->store_era()}};
 }
 
 message unpack(field_reader& in, const fb::QuotaRequest* value) {
--- a/tests/contract/object_reflector_test.cpp
+++ b/tests/contract/object_reflector_test.cpp
@@ -166,5 +166,73 @@
                                          outage_case{"silent", fake_object_store::manner::silent}),
                          [](const auto& it) { return it.param.name; });
 
+/// Reflectors of a store that comes back from a copy with the object "a", after "a" was replaced by "b".
+struct reflector_copy : reflector_fixture {
+    void start_with_copy() {
+        store.era = 1;
+        store.put("things", "a", 1);
+        store.copy();
+        store.remove("things", "a");
+        store.put("things", "b", 1);
+        start();
+        access.on_new_era = [this](store_era before) {
+            if (before != store_era{} && reflector->revision().era < access.era) {
+                reflector->relist();
+            }
+        };
+        ASSERT_TRUE(reports_names({"b"}));
+        ASSERT_TRUE(loop.run_until([&] { return store.watches == 1; }));
+    }
+};
+
+// Guards against a watch that waits for revisions of an earlier era.
+TEST_F(reflector_copy, lists_again_when_a_check_shows_the_new_era) {
+    start_with_copy();
+    store.mute_watches();
+    store.restore();
+    reflector->check(1s);
+    EXPECT_TRUE(reports_names({"a"}));
+    EXPECT_EQ(store_era{2}, reflector->revision().era);
+    EXPECT_LT(reflector->revision().value, 13U);
+    store.put("things", "c", 1);
+    EXPECT_TRUE(reports_names({"a", "c"}));
+    EXPECT_EQ(2U, lists);
+}
+
+// Guards against changes that are missed because the revision has passed the one that was watched.
+TEST_F(reflector_copy, lists_again_when_the_revision_has_passed_the_former_one) {
+    start_with_copy();
+    store.mute_watches();
+    store.restore();
+    for (int i = 0; i < 10; ++i) {
+        store.put("things", "c", i);
+    }
+    reflector->check(1s);
+    EXPECT_TRUE(reports_names({"a", "c"}));
+}
+
+// Guards against a watch that goes on although another call or a peer has named the new era.
+TEST_F(reflector_copy, lists_again_when_another_call_names_the_new_era) {
+    start_with_copy();
+    store.mute_watches();
+    store.restore();
+    note_era(access, store_era{2});
+    EXPECT_TRUE(reports_names({"a"}));
+    EXPECT_EQ(2U, lists);
+    note_era(access, store_era{1});
+    EXPECT_EQ(store_era{2}, access.era);
+}
+
+// Guards against a late response of an earlier era that is taken for the state of the store.
+TEST_F(reflector_copy, ignores_responses_of_an_earlier_era) {
+    start_with_copy();
+    note_era(access, store_era{2}); // from a peer; the responses still name the first era
+    ASSERT_TRUE(loop.run_until([&] { return access.counts.outdated >= 2; }));
+    EXPECT_EQ(1U, lists);
+    EXPECT_EQ(0U, failures);
+    store.restore();
+    EXPECT_TRUE(reports_names({"a"}));
+}
+
 } // namespace
 } // namespace endivelever::http_test
--- a/tests/fakes/fake_object_store.cpp
+++ b/tests/fakes/fake_object_store.cpp
@@ -120,13 +120,30 @@
     }
 }
 
+void fake_object_store::restore() {
+    m_revision = m_copy.revision;
+    m_history_begin = m_copy.history_begin;
+    m_objects = m_copy.objects;
+    m_history = m_copy.history;
+    ++era;
+    cut_watches();
+}
+
+void fake_object_store::respond(http_exchange& exchange, unsigned status, std::string body) const {
+    http_headers headers;
+    if (era != 0) {
+        headers.push_back({"Store-Era", std::to_string(era)});
+    }
+    exchange.respond(status, headers, std::move(body));
+}
+
 void fake_object_store::answer(http_exchange& exchange, const std::string& body) {
     switch (behaviour) {
     case manner::refuses:
-        exchange.respond(503, {}, "busy");
+        respond(exchange, 503, "busy");
         return;
     case manner::limits:
-        exchange.respond(429, {}, "too many");
+        respond(exchange, 429, "too many");
         return;
     case manner::closes:
         exchange.abort();
@@ -138,7 +155,7 @@
     }
     if (!is_valid_target(exchange.target())) {
         ++invalid_targets;
-        exchange.respond(400, {}, "request target is not valid");
+        respond(exchange, 400, "request target is not valid");
         return;
     }
     auto target = parse_target(exchange.target());
@@ -160,9 +177,9 @@
                                    const std::string& name) {
     const auto found = m_objects[kind].find(name);
     if (found == m_objects[kind].end()) {
-        exchange.respond(404, {}, "{}");
+        respond(exchange, 404, "{}");
     } else {
-        exchange.respond(200, {}, found->second.dump());
+        respond(exchange, 200, found->second.dump());
     }
 }
 
@@ -181,15 +198,15 @@
         }
         items.push_back(it.second);
     }
-    exchange.respond(200, {},
-                     json{{"items", items}, {"truncated", truncated}, {"store_revision", m_revision}}.dump());
+    respond(exchange, 200,
+            json{{"items", items}, {"truncated", truncated}, {"store_revision", m_revision}}.dump());
 }
 
 void fake_object_store::answer_watch(http_exchange& exchange, const std::string& kind, std::uint64_t since,
                                      bool waits) {
     watches += waits ? 1 : 0;
-    if (since < m_history_begin) {
-        exchange.respond(410, {}, "gone");
+    if (since < m_history_begin || since > m_revision) {
+        respond(exchange, 410, "gone");
         return;
     }
     const waiting_watch it{&exchange, kind, since};
@@ -199,7 +216,7 @@
     if (waits) {
         m_waiting.push_back(it);
     } else {
-        exchange.respond(200, {}, json{{"events", json::array()}, {"store_revision", m_revision}}.dump());
+        respond(exchange, 200, json{{"events", json::array()}, {"store_revision", m_revision}}.dump());
     }
 }
 
@@ -213,7 +230,7 @@
     if (events.empty()) {
         return false;
     }
-    it.exchange->respond(200, {}, json{{"events", events}, {"store_revision", m_revision}}.dump());
+    respond(*it.exchange, 200, json{{"events", events}, {"store_revision", m_revision}}.dump());
     return true;
 }
 
@@ -223,17 +240,17 @@
     const auto object = json::parse(body);
     const auto name = object.at("metadata").at("name").get<std::string>();
     if (exchange.method() == "POST" && has(kind, name)) {
-        exchange.respond(409, {}, m_objects[kind][name].dump());
+        respond(exchange, 409, m_objects[kind][name].dump());
         return;
     }
     const auto expected = object.at("metadata").find("revision");
     if (exchange.method() == "PUT" && expected != object.at("metadata").end()) {
         if (!has(kind, name)) {
-            exchange.respond(404, {}, "{}");
+            respond(exchange, 404, "{}");
             return;
         }
         if (m_objects[kind][name].at("metadata").at("revision") != *expected) {
-            exchange.respond(409, {}, m_objects[kind][name].dump());
+            respond(exchange, 409, m_objects[kind][name].dump());
             return;
         }
     }
@@ -243,7 +260,7 @@
         exchange.abort();
         return;
     }
-    exchange.respond(200, {}, m_objects[kind][name].dump());
+    respond(exchange, 200, m_objects[kind][name].dump());
 }
 
 } // namespace endivelever::http_test
--- a/tests/fakes/fake_object_store.hpp
+++ b/tests/fakes/fake_object_store.hpp
@@ -31,6 +31,11 @@
     void forget_history();
     /// Cuts the watches that wait.
     void cut_watches();
+    /// Takes the copy from which restore() brings the store back.
+    void copy() { m_copy = {m_revision, m_history_begin, m_objects, m_history}; }
+    /// Brings the store back from its copy, in the next era. Watches that wait are cut.
+    void restore();
+    [[nodiscard]] std::uint64_t revision() const { return m_revision; }
     /// Leaves the watches that wait now without any response, while other calls are served.
     void mute_watches() { m_waiting.clear(); }
 
@@ -38,6 +43,7 @@
     [[nodiscard]] bool has(const std::string& kind, const std::string& name) const;
 
     manner behaviour = manner::serves;
+    std::uint64_t era = 0; ///< named in each response; 0 names none
     std::size_t page_size;
     std::string silent_kind;         ///< calls for this kind get no response
     bool repeats_pages = false;      ///< each page of a list is the first one
@@ -59,6 +65,14 @@
         std::uint64_t since = 0;
     };
 
+    struct content_copy {
+        std::uint64_t revision = 0;
+        std::uint64_t history_begin = 0;
+        std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+        std::vector<change> history;
+    };
+
+    void respond(http_exchange& exchange, unsigned status, std::string body) const;
     void answer(http_exchange& exchange, const std::string& body);
     void answer_list(http_exchange& exchange, const std::string& kind, const std::string& after);
     void answer_get(http_exchange& exchange, const std::string& kind, const std::string& name);
@@ -71,6 +85,7 @@
     std::uint64_t m_history_begin = 10;
     std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
     std::vector<change> m_history;
+    content_copy m_copy;
     std::vector<waiting_watch> m_waiting;
     std::map<http_exchange*, std::string> m_bodies;
     std::unique_ptr<http_server> m_server;
--- a/tests/unit/object_listing_test.cpp
+++ b/tests/unit/object_listing_test.cpp
@@ -10,7 +10,7 @@
 object_page make_page(const name_list& names, bool has_more, std::uint64_t revision) {
     object_page page;
     page.has_more = has_more;
-    page.revision = object_revision{revision};
+    page.revision.value = revision;
     for (const auto& it : names) {
         stored_object object;
         object.name = it;
@@ -46,7 +46,7 @@
     ASSERT_TRUE(add_page(listing, make_page(GetParam().second, false, 9)));
     EXPECT_TRUE(listing.is_complete);
     EXPECT_EQ(GetParam().all, names_of(listing));
-    EXPECT_EQ(object_revision{7}, listing.revision);
+    EXPECT_EQ(7U, listing.revision.value);
 }
 
 const std::string long_name(256, 'x');
@@ -86,5 +86,17 @@
                                          endless_case{"only_odd", {"a&", "b x"}}, endless_case{"empty", {}}),
                          [](const auto& it) { return it.param.name; });
 
+// Guards against a list whose pages come from before and after the store came back from a copy.
+TEST(object_listing, page_of_another_era_is_an_error) {
+    object_listing listing;
+    auto first = make_page({"a", "b"}, true, 7);
+    first.revision.era = store_era{1};
+    ASSERT_TRUE(add_page(listing, std::move(first)));
+    auto second = make_page({"c"}, false, 8);
+    second.revision.era = store_era{2};
+    EXPECT_FALSE(add_page(listing, std::move(second)));
+    EXPECT_FALSE(listing.is_complete);
+}
+
 } // namespace
 } // namespace endivelever
--- a/tests/unit/object_target_test.cpp
+++ b/tests/unit/object_target_test.cpp
@@ -23,7 +23,7 @@
     EXPECT_EQ("/api/objects/servers?stale_ok=1&after=" + encoded, protocol.list_stale(kind, name).target);
     EXPECT_EQ("/api/objects/servers/" + encoded, protocol.replace(kind, name, 1).target);
     EXPECT_EQ("/api/objects/servers/" + encoded + "?revision=7",
-              protocol.remove(kind, name, object_revision{7}).target);
+              protocol.remove(kind, name, object_revision{store_era{}, 7}).target);
 }
 
 INSTANTIATE_TEST_SUITE_P(names, object_target,
--- a/tests/unit/odd_entry_test.cpp
+++ b/tests/unit/odd_entry_test.cpp
@@ -41,18 +41,20 @@
 TEST_P(odd_entry, leaves_the_others_readable) {
     const auto protocol = make_object_protocol(socket_address("127.0.0.1:1"));
     const auto objects = object_text("i-odd", GetParam().spec) + "," + object_text("i-good", good_entry());
-    const auto page =
-        protocol.parse_page(R"({"items":[)" + objects + R"(],"truncated":false,"store_revision":9})");
+    const auto page = protocol.parse_page(
+        R"({"items":[)" + objects + R"(],"truncated":false,"store_revision":9})", store_era{2});
     ASSERT_TRUE(page) << page.error().message;
-    EXPECT_EQ(object_revision{9}, page->revision);
+    EXPECT_EQ((object_revision{store_era{2}, 9}), page->revision);
     ASSERT_EQ(2U, page->objects.size());
     EXPECT_EQ(GetParam().usable, read_server("i-odd", page->objects[0].content).has_value());
     EXPECT_TRUE(read_server("i-good", page->objects[1].content));
     EXPECT_LT(page->objects[0].content.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace).size(),
               4096U);
-    const auto changes = protocol.parse_changes(
-        R"({"events":[{"deleted":false,"object":)" + object_text("i-odd", GetParam().spec) +
-        R"(},{"deleted":true,"object":)" + object_text("i-good", good_entry()) + R"(}],"store_revision":9})");
+    const auto changes =
+        protocol.parse_changes(R"({"events":[{"deleted":false,"object":)" +
+                                   object_text("i-odd", GetParam().spec) + R"(},{"deleted":true,"object":)" +
+                                   object_text("i-good", good_entry()) + R"(}],"store_revision":9})",
+                               store_era{2});
     ASSERT_TRUE(changes) << changes.error().message;
     EXPECT_EQ(2U, changes->changes.size());
 }
@@ -108,7 +110,7 @@
     const auto protocol = make_object_protocol(socket_address("127.0.0.1:1"));
     for (const auto* text :
          {"", "{", R"({"items":[)", R"({"items":[]} trailing)", "null", R"({"items":{}})"}) {
-        EXPECT_FALSE(protocol.parse_page(text)) << text;
+        EXPECT_FALSE(protocol.parse_page(text, store_era{})) << text;
     }
 }
 
--- a/tests/unit/peer_table_test.cpp
+++ b/tests/unit/peer_table_test.cpp
@@ -88,6 +88,7 @@
     void (*change)(gateway_status_message&);
     duration confirmed; ///< expected, relative to `start`; 0 for none
     std::uint64_t own_evacuations = 0;
+    store_era own_era{};
 };
 
 struct confirmation : testing::TestWithParam<confirmation_case> {};
@@ -97,12 +98,13 @@
     auto table = make_table("vm-0", vms(3));
     auto it = status(vm_id("vm-1"), 1);
     it.routing_version = 5;
-    it.servers_revision = 50;
+    it.servers_revision.value = 50;
     it.knowledge_age_ms = 300;
     GetParam().change(it);
     ASSERT_TRUE(merge_status(table, it, start + 10s));
-    update_confirmations(table,
-                         {GetParam().own_version, GetParam().own_revision, GetParam().own_evacuations});
+    update_confirmations(table, {GetParam().own_version,
+                                 {GetParam().own_era, GetParam().own_revision},
+                                 {GetParam().own_era, GetParam().own_evacuations}});
     const auto expected =
         GetParam().confirmed == duration::zero() ? time_point{} : start + GetParam().confirmed;
     EXPECT_EQ(expected, table.confirmed_at);
@@ -127,21 +129,46 @@
                           },
                           {}},
         confirmation_case{"same_evacuations", 5, 50,
-                          [](gateway_status_message& it) { it.evacuations_revision = 60; }, 9700ms, 60},
+                          [](gateway_status_message& it) { it.evacuations_revision.value = 60; }, 9700ms, 60},
         confirmation_case{"older_evacuations", 5, 50,
-                          [](gateway_status_message& it) { it.evacuations_revision = 59; }, 9700ms, 60},
+                          [](gateway_status_message& it) { it.evacuations_revision.value = 59; }, 9700ms, 60},
         confirmation_case{"newer_evacuations",
                           5,
                           50,
-                          [](gateway_status_message& it) { it.evacuations_revision = 61; },
+                          [](gateway_status_message& it) { it.evacuations_revision.value = 61; },
                           {},
                           60},
         confirmation_case{"evacuations_not_known_here",
                           5,
                           50,
-                          [](gateway_status_message& it) { it.evacuations_revision = 60; },
+                          [](gateway_status_message& it) { it.evacuations_revision.value = 60; },
                           {}},
-        confirmation_case{"evacuations_not_known_there", 5, 50, [](gateway_status_message&) {}, 9700ms, 60}),
+        confirmation_case{"evacuations_not_known_there", 5, 50, [](gateway_status_message&) {}, 9700ms, 60},
+        confirmation_case{"same_era", 5, 50,
+                          [](gateway_status_message& it) {
+                              it.servers_revision.era = store_era{2};
+                              it.evacuations_revision.era = store_era{2};
+                          },
+                          9700ms, 0, store_era{2}},
+        confirmation_case{"later_era",
+                          5,
+                          50,
+                          [](gateway_status_message& it) {
+                              it.servers_revision = {store_era{3}, 20};
+                          },
+                          {},
+                          0,
+                          store_era{2}},
+        confirmation_case{"earlier_era",
+                          5,
+                          50,
+                          [](gateway_status_message& it) {
+                              it.servers_revision = {store_era{1}, 50};
+                          },
+                          {},
+                          0,
+                          store_era{2}},
+        confirmation_case{"build_without_eras", 5, 50, [](gateway_status_message&) {}, {}, 0, store_era{2}}),
     [](const auto& it) { return it.param.name; });
 
 struct unconfirmed_case {
--- a/tests/unit/server_registry_test.cpp
+++ b/tests/unit/server_registry_test.cpp
@@ -1,5 +1,6 @@
 #include "endivelever/decide/server_registry.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <optional>
 
@@ -330,5 +331,158 @@
                                          same_address_case{"later_but_missing", 2000, true, true}),
                          [](const auto& it) { return it.param.name; });
 
+// -- copies of the store ---------------------------------------------------------------------------------
+
+registered_server started_server(std::int64_t start_ms, bool draining = false) {
+    auto it = server("a", draining);
+    it.address = socket_address("10.0.0.1:80");
+    it.start_ms = start_ms;
+    return it;
+}
+
+using server_list = std::vector<registered_server>;
+
+struct copy_case {
+    const char* name;
+    server_list known;  ///< before the store came back
+    server_list before; ///< listed before that; those that are not known were removed
+    server_list copy;
+    void (*later)(server_registry&); ///< happens one second after the return
+    std::size_t usable_at_once;
+    std::size_t usable_at_1s;
+    std::size_t usable_at_3s;
+};
+
+struct registry_copy : testing::TestWithParam<copy_case> {};
+
+std::size_t count_usable(const server_registry& registry) {
+    const auto found = servers_of(registry, service_id("desk"));
+    return static_cast<std::size_t>(
+        std::count_if(found.begin(), found.end(), [](const auto& it) { return !it.draining; }));
+}
+
+void apply_copy(server_registry& registry, const server_list& copy, bool from_peer, time_point now) {
+    begin_copy(registry, now);
+    if (from_peer) {
+        apply_peer_list(registry, copy, {}, now);
+    } else {
+        apply_listed(registry, copy, now);
+    }
+    end_copy(registry);
+}
+
+// Guards against the use of servers that have left and are listed again by an older copy of the store, and
+// against the loss of those that it lacks.
+TEST_P(registry_copy, does_not_outrank_what_is_known) {
+    const auto& param = GetParam();
+    for (const bool from_peer : {false, true}) {
+        server_registry registry;
+        apply_listed(registry, param.before, start);
+        apply_listed(registry, param.known, start + 1s);
+        apply_copy(registry, param.copy, from_peer, start + 10s);
+        EXPECT_EQ(param.usable_at_once, count_usable(registry)) << from_peer;
+        param.later(registry);
+        drop_missing(registry, start + 11s);
+        EXPECT_EQ(param.usable_at_1s, count_usable(registry)) << from_peer;
+        drop_missing(registry, start + 13s);
+        EXPECT_EQ(param.usable_at_3s, count_usable(registry)) << from_peer;
+    }
+}
+
+void nothing(server_registry& /*registry*/) {}
+void written_again(server_registry& registry) {
+    apply_changed(registry, started_server(1000));
+}
+void answers(server_registry& registry) {
+    note_answered(registry, server_id("a"), {socket_address("10.0.0.1:80"), 1000});
+}
+void drains_again(server_registry& registry) {
+    apply_changed(registry, started_server(1000, true));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    copies, registry_copy,
+    testing::Values(
+        copy_case{"same", {started_server(1000)}, {}, {started_server(1000)}, &nothing, 1, 1, 1},
+        copy_case{"drained_since",
+                  {started_server(1000, true)},
+                  {started_server(1000)},
+                  {started_server(1000)},
+                  &nothing,
+                  0,
+                  0,
+                  0},
+        copy_case{"drained_since_and_again",
+                  {started_server(1000, true)},
+                  {started_server(1000)},
+                  {started_server(1000)},
+                  &drains_again,
+                  0,
+                  0,
+                  0},
+        copy_case{"removed_since", {}, {started_server(1000)}, {started_server(1000)}, &nothing, 0, 0, 0},
+        copy_case{"removed_since_and_written_again",
+                  {},
+                  {started_server(1000)},
+                  {started_server(1000)},
+                  &written_again,
+                  0,
+                  1,
+                  1},
+        copy_case{"removed_since_and_answers",
+                  {},
+                  {started_server(1000)},
+                  {started_server(1000)},
+                  &answers,
+                  0,
+                  1,
+                  1},
+        copy_case{"removed_since_and_started_again",
+                  {},
+                  {started_server(1000)},
+                  {started_server(2000)},
+                  &nothing,
+                  1,
+                  1,
+                  1},
+        copy_case{"joined_since", {started_server(1000)}, {}, {}, &nothing, 1, 1, 0},
+        copy_case{"joined_since_and_written_again", {started_server(1000)}, {}, {}, &written_again, 1, 1, 1},
+        copy_case{"drained_since_and_not_in_the_copy",
+                  {started_server(1000, true)},
+                  {started_server(1000)},
+                  {},
+                  &nothing,
+                  0,
+                  0,
+                  0},
+        copy_case{"earlier_start_in_the_copy",
+                  {started_server(2000)},
+                  {started_server(1000)},
+                  {started_server(1000)},
+                  &nothing,
+                  1,
+                  1,
+                  0}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against a copy that is believed because the store comes back from it once more.
+TEST(server_registry, removed_server_stays_out_of_use_over_two_copies) {
+    server_registry registry;
+    apply_listed(registry, {started_server(1000)}, start);
+    apply_removed(registry, server_id("a"), start + 1s);
+    apply_copy(registry, {started_server(1000)}, false, start + 2s);
+    apply_copy(registry, {started_server(1000)}, false, start + 4s);
+    EXPECT_EQ(0U, count_usable(registry));
+}
+
+// Guards against a server that stays out of use for a removal that lies long back.
+TEST(server_registry, removal_is_forgotten_after_a_while) {
+    server_registry registry;
+    apply_listed(registry, {started_server(1000)}, start);
+    apply_removed(registry, server_id("a"), start + 1s);
+    apply_copy(registry, {started_server(1000)}, false, start + 2s + removal_memory);
+    EXPECT_EQ(1U, count_usable(registry));
+}
+
 } // namespace
 } // namespace endivelever
