Take leases of quotas again after the store came back from a copy

Cause: leases are written on condition of a revision and learned only with a higher one. The copy has lower ones, so that every write failed and its response was ignored.

Change: a record of a lease names the era of the revision that it replaces. A record of an earlier era than its revision comes from a copy: the holder gives the lease up, one VM takes it at once, and grants when every lease of the former era has ended. A write that is answered in a later era counts as seen only. A lease that the copy lacks is created again. Statuses name leases of the current era.

--- a/include/endivelever/decide/quota_lease.hpp
+++ b/include/endivelever/decide/quota_lease.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "endivelever/base/ids.hpp"
+#include "endivelever/base/object_revision.hpp"
 #include "endivelever/base/time.hpp"
 
 #include <cstddef>
@@ -33,6 +34,8 @@
     bool released = false;
     /// How long after the write a former lease may still have been valid; the longest time if not known.
     std::uint32_t gate_ms = static_cast<std::uint32_t>(quota_lease_time.count() / 1'000'000);
+    store_era
+        era{}; ///< of the revision that this record replaces, or that was current if it is the first one
 
     bool operator==(const quota_lease_record&) const = default;
 };
@@ -40,7 +43,7 @@
 /// Lease of one shard as known to one VM. The object in the store is only written on condition that it is
 /// still at the known revision, so a write that succeeds shows that the former holder has not renewed since.
 struct quota_lease {
-    std::uint64_t revision = 0; ///< 0 if the object is not known
+    object_revision revision;   ///< 0 if the object is not known
     quota_lease_record record;  ///< as written at that revision
     time_point learned_at{};    ///< when this VM first saw that revision; it was written before
     bool is_holder = false;     ///< this VM wrote that revision
@@ -64,7 +67,13 @@
 };
 
 /// @return the record with which this VM takes, renews or releases the lease
-quota_lease_record next_record(const quota_lease& lease, vm_hash own, incarnation own_life, time_point now);
+/// @param era  latest that this VM knows, for a lease that it does not know
+quota_lease_record next_record(const quota_lease& lease, vm_hash own, incarnation own_life, store_era era,
+                               time_point now);
+
+/// True if the known record was written in an earlier era than that of its revision: the store came back from
+/// a copy. Any VM may have held the lease since that copy was taken.
+bool is_copied(const quota_lease& lease);
 
 /// @param own       hash of this VM's id
 /// @param position  place of this VM among the candidates for the shard; 0 is the first
@@ -77,18 +86,27 @@
 void note_write_started(quota_lease& lease, time_point now);
 
 /// Records that a write took effect.
-/// @param record   as written by this VM
-/// @param started  when it was sent
-void note_written(quota_lease& lease, std::uint64_t revision, const quota_lease_record& record,
+/// @param revision  in the era of `record`: a write that the store has answered in a later one may have
+///                  replaced the lease of another VM, whose revision is the same by chance
+/// @param record    as written by this VM
+/// @param started   when it was sent
+void note_written(quota_lease& lease, object_revision revision, const quota_lease_record& record,
                   time_point started);
 
 /// Records that the write failed, or that its result is not known.
 void note_write_failed(quota_lease& lease);
 
-/// Applies a revision that was read from the store or named by another VM. Older ones are ignored.
+/// Records that the store came back from a copy. It may have lost a lease that this VM has never seen.
+void note_new_era(quota_lease& lease);
+
+/// Records that the store has no object, although one was known: it came back from a copy without it.
+void note_lost(quota_lease& lease, store_era era);
+
+/// Applies a revision that was read from the store or named by another VM. Older ones are ignored. One of a
+/// later era ends the lease of this VM, since another one may have held it meanwhile.
 /// @param own       hash of this VM's id
 /// @param own_life  life of this process
-void note_seen(quota_lease& lease, std::uint64_t revision, const quota_lease_record& record, vm_hash own,
+void note_seen(quota_lease& lease, object_revision revision, const quota_lease_record& record, vm_hash own,
                incarnation own_life, time_point now);
 
 /// Gives the lease up: this VM grants nothing from now on, and next_action() asks to release the lease.
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -231,6 +231,9 @@
     board.peers.own_caller_address = board.conf.caller_address.text;
     board.peers.started =
         boot_clock::now() + (board.conf.first_start ? first_start_list_delay : duration::zero());
+    for (auto& lease : board.quota.leases) {
+        lease.may_have_former = !board.conf.first_start;
+    }
     if (board.conf.first_start) {
         register_vm(board);
     }
--- a/src/gateway/quota.cpp
+++ b/src/gateway/quota.cpp
@@ -13,6 +13,7 @@
 
 constexpr unsigned status_too_many_requests = 429;
 constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_not_found = 404;
 constexpr unsigned status_conflict = 409;
 constexpr unsigned first_error_status = 300;
 // An allocator answers within one round trip. A datagram may be lost, so a request asks twice.
@@ -44,11 +45,9 @@
 }
 
 json to_json(const quota_lease_record& record) {
-    return {{"holder", std::to_string(record.holder)},
-            {"life", std::to_string(record.life.value)},
-            {"term", std::to_string(record.term)},
-            {"gate_ms", std::to_string(record.gate_ms)},
-            {"released", record.released}};
+    return {{"holder", std::to_string(record.holder)}, {"life", std::to_string(record.life.value)},
+            {"term", std::to_string(record.term)},     {"gate_ms", std::to_string(record.gate_ms)},
+            {"era", std::to_string(record.era.value)}, {"released", record.released}};
 }
 
 std::uint64_t number_field(const json& object, const char* key) {
@@ -68,6 +67,7 @@
     if (content.contains("gate_ms")) {
         record.gate_ms = static_cast<std::uint32_t>(number_field(content, "gate_ms"));
     }
+    record.era = store_era{number_field(content, "era")};
     return record;
 }
 
@@ -86,22 +86,24 @@
     const auto& lease = board.quota.leases.at(shard);
     write_event(board.log, event,
                 {{"shard", static_cast<std::int64_t>(shard)},
-                 {"revision", static_cast<std::int64_t>(lease.revision)},
+                 {"era", static_cast<std::int64_t>(lease.revision.era.value)},
+                 {"revision", static_cast<std::int64_t>(lease.revision.value)},
                  {"grants_in_ms", to_milliseconds(lease.grants_from - boot_clock::now())}});
 }
 
 void handle_lease_reply(gateway_board& board, std::size_t shard, quota_lease_action action,
-                        const quota_lease_record& record, time_point started, const http_reply& reply) {
+                        const quota_lease_record& record, time_point started, const store_reply& reply) {
     auto& lease = board.quota.leases.at(shard);
-    const bool answered = reply.result.failure == transfer_failure::none;
-    const auto object = answered ? board.dialect.store.parse_object(reply.body, {})
-                                 : result<stored_object>(fail("gateway", 3, reply.result.detail));
-    if (answered && reply.result.status < first_error_status && object) {
+    const auto& transfer = reply.http.result;
+    const bool answered = transfer.failure == transfer_failure::none;
+    const auto object = answered ? board.dialect.store.parse_object(reply.http.body, reply.era)
+                                 : result<stored_object>(fail("gateway", 3, transfer.detail));
+    if (answered && transfer.status < first_error_status && object && reply.era == record.era) {
         const bool was_holder = lease.is_holder;
-        note_written(lease, object->mod_revision.value, record, started);
+        note_written(lease, object->mod_revision, record, started);
         if (!was_holder && lease.is_holder) {
             board.quota.starts_full.at(shard) =
-                action == quota_lease_action::create && board.conf.first_start;
+                action == quota_lease_action::create && !lease.may_have_former;
             std::erase_if(board.quota.buckets,
                           [shard](const auto& it) { return shard_of(it.first) == shard; });
             count(board, "quota_leases_taken_total");
@@ -114,43 +116,50 @@
         return;
     }
     note_write_failed(lease);
-    if (answered && reply.result.status == status_conflict && object) {
-        const bool was_holder = lease.is_holder;
-        if (action == quota_lease_action::create) {
-            // The object is known now, so there is no failed attempt to wait for.
-            lease.write_started = started - quota_renewal_interval;
-        }
-        note_seen(lease, object->mod_revision.value, read_record(object->content), hash_of(board.conf.vm),
+    const bool is_new_era = reply.era > record.era;
+    const bool shows_object = object && (transfer.status == status_conflict || is_new_era);
+    const bool shows_none = transfer.status == status_not_found && action != quota_lease_action::create;
+    if (!answered || reply.is_outdated || (!shows_object && !shows_none)) {
+        return;
+    }
+    const bool was_holder = lease.is_holder;
+    if (action == quota_lease_action::create || is_new_era || shows_none) {
+        // What is stored is known now, so there is no failed attempt to wait for.
+        lease.write_started = started - quota_renewal_interval;
+    }
+    if (shows_object) {
+        note_seen(lease, object->mod_revision, read_record(object->content), hash_of(board.conf.vm),
                   board.own_incarnation, boot_clock::now());
-        if (was_holder && !lease.is_holder) {
-            log_lease(board, "quota_lease_lost", shard);
-        }
-        maintain_quota_leases(board, boot_clock::now());
+    } else {
+        note_lost(lease, reply.era);
     }
+    if (was_holder && !lease.is_holder) {
+        log_lease(board, "quota_lease_lost", shard);
+    }
+    maintain_quota_leases(board, boot_clock::now());
 }
 
 void write_lease(gateway_board& board, std::size_t shard, quota_lease_action action,
                  const quota_lease_record& record) {
     auto& lease = board.quota.leases.at(shard);
     const auto& kind = board.dialect.quota_lease_kind;
-    auto request = action == quota_lease_action::create
-                       ? board.dialect.store.create(kind, lease_name(shard), to_json(record))
-                       : board.dialect.store.replace_if(kind, lease_name(shard),
-                                                        object_revision{{}, lease.revision}, to_json(record));
+    auto request =
+        action == quota_lease_action::create
+            ? board.dialect.store.create(kind, lease_name(shard), to_json(record))
+            : board.dialect.store.replace_if(kind, lease_name(shard), lease.revision, to_json(record));
     request.timeout = lease_call_timeout;
     const auto started = boot_clock::now();
     note_write_started(lease, started);
-    ++board.store_access.counts.calls;
-    fetch(*board.store_http_client, std::move(request), max_lease_reply,
-          [&board, shard, action, record, started](const http_reply& reply) {
-              handle_lease_reply(board, shard, action, record, started, reply);
-          });
+    call_store(board.store_access, std::move(request), max_lease_reply,
+               [&board, shard, action, record, started](const store_reply& reply) {
+                   handle_lease_reply(board, shard, action, record, started, reply);
+               });
 }
 
 /// Address of the VM that holds the lease of a shard, as far as this VM knows; empty if it knows none.
 std::string allocator_address(const gateway_board& board, std::size_t shard) {
     const auto& lease = board.quota.leases.at(shard);
-    if (lease.revision == 0) {
+    if (lease.revision.value == 0) {
         return {};
     }
     for (const auto& it : board.peers.peers) {
@@ -465,12 +474,12 @@
         }
         if (lease.write_started == time_point{}) {
             lease.write_started = board.peers.started - quota_renewal_interval;
-            lease.may_have_former = !board.conf.first_start;
         }
         const auto action = next_action(lease, hash_of(board.conf.vm), position.value_or(0), now);
         if (action != quota_lease_action::none) {
             write_lease(board, shard, action,
-                        next_record(lease, hash_of(board.conf.vm), board.own_incarnation, now));
+                        next_record(lease, hash_of(board.conf.vm), board.own_incarnation,
+                                    board.store_access.era, now));
         }
     }
 }
@@ -486,8 +495,8 @@
     std::vector<quota_lease_status> known;
     for (std::size_t shard = 0; shard < quota_shards; ++shard) {
         const auto& lease = board.quota.leases.at(shard);
-        if (lease.revision != 0) {
-            known.push_back({lease.revision, lease.record.holder, static_cast<std::uint8_t>(shard),
+        if (lease.revision.value != 0 && lease.revision.era == board.store_access.era && !is_copied(lease)) {
+            known.push_back({lease.revision.value, lease.record.holder, static_cast<std::uint8_t>(shard),
                              lease.record.released});
         }
     }
@@ -500,7 +509,9 @@
         if (it.shard < quota_shards) {
             auto& lease = board.quota.leases.at(it.shard);
             const auto holder = lease.record.holder;
-            note_seen(lease, it.revision, {it.holder, {}, 0, it.released}, hash_of(board.conf.vm),
+            quota_lease_record record{it.holder, {}, 0, it.released};
+            record.era = status.store_era;
+            note_seen(lease, {status.store_era, it.revision}, record, hash_of(board.conf.vm),
                       board.own_incarnation, now);
             has_new_holder = has_new_holder || lease.record.holder != holder;
         }
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -482,6 +482,9 @@
     }
     if (before != store_era{}) {
         count(board, "store_eras_total");
+        for (auto& it : board.quota.leases) {
+            note_new_era(it);
+        }
         board.registered = false; // the copy may lack the entry; the next list shows it
     }
 }
--- a/tests/failure/store_copy_test.cpp
+++ b/tests/failure/store_copy_test.cpp
@@ -12,6 +12,9 @@
 constexpr duration stability_window = 3s;
 constexpr duration drain_bound = 2s;
 constexpr duration evacuation_bound = 5s;
+constexpr duration quota_window = 5s;
+constexpr duration recovery_bound = 15s;
+constexpr int quota_rate = 60;
 
 /// Gateways whose store comes back from a copy, while callers keep their connections.
 struct copy_fleet : gateway_fleet {
@@ -21,7 +24,10 @@
         store.era = 1;
         shortest_pause = 20ms;
         pause_spread_ms = 60;
-        more_bounds = {{"evacuation_ms", to_milliseconds(evacuation_bound)}};
+        more_bounds = {{"evacuation_ms", to_milliseconds(evacuation_bound)},
+                       {"quota_window_s", to_seconds(quota_window)},
+                       {"quota_overage", 0.1},
+                       {"quota_tolerance", 20}};
     }
 
     static std::string name(std::size_t server) { return "i-" + std::to_string(server); }
@@ -91,6 +97,11 @@
         return n;
     }
 
+    [[nodiscard]] std::size_t served() const {
+        return static_cast<std::size_t>(std::count_if(responses.begin(), responses.end(),
+                                                      [](const auto& it) { return it.status == 200; }));
+    }
+
     /// One request on a connection of its own to each gateway.
     [[nodiscard]] std::size_t answered_once() {
         std::vector<raw_socket> connections;
@@ -212,5 +223,38 @@
         10s));
 }
 
+// Guards against tenants that are nearly without service after the store came back from a copy whose leases
+// are older than those that the VMs know, and against two allocators of one tenant.
+TEST(store_copy_quota, tenants_are_served_within_their_quota_after_the_return) {
+    copy_fleet fleet;
+    fleet.tenants = {{{"resource_kind", "tenants"},
+                      {"metadata", {{"name", "alpha"}}},
+                      {"spec", {{"api_keys", {"key-a"}}, {"rate_per_s", quota_rate}, {"burst", 10}}}}};
+    fleet.request_fields = "Authorization: Bearer key-a\r\n";
+    ASSERT_TRUE(fleet.start_all());
+    fleet.play_lost_time([] {});
+    const auto served_before = fleet.served();
+    EXPECT_GT(served_before, 0U);
+    fleet.return_from_copy();
+    fleet.play_for(recovery_bound);
+    const auto served_then = fleet.served();
+    fleet.play_for(quota_window);
+    // RECOVER asks for a quarter of the requests; the quota allows fewer than the callers send.
+    EXPECT_GE(fleet.served() - served_then, quota_rate * 5U / 4U);
+    std::vector<time_point> ran;
+    for (const auto& it : fleet.targets) {
+        ran.insert(ran.end(), it->ran_at.begin(), it->ran_at.end());
+    }
+    std::sort(ran.begin(), ran.end());
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < ran.size(); ++last) {
+        while (ran[last] - ran[first] > quota_window) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    EXPECT_LE(static_cast<double>(most), (quota_rate * to_seconds(quota_window) + 10) * 1.1 + 20);
+}
+
 } // namespace
 } // namespace endivelever::http_test
--- a/tests/fuzz/quota_fuzz.cpp
+++ b/tests/fuzz/quota_fuzz.cpp
@@ -29,11 +29,28 @@
     quota_limit limit;
 };
 
-/// Object of one lease, with conditional writes.
+/// Object of one lease, with conditional writes, and a copy from which the store may come back.
 struct fake_store {
-    std::uint64_t revision = 0;
+    store_era era{1};
+    std::uint64_t revision = 0; ///< 0 if the object does not exist
     std::uint64_t last_revision = 10;
     quota_lease_record record;
+    std::uint64_t copied_revision = 0;
+    std::uint64_t copied_last_revision = 10;
+    quota_lease_record copied_record;
+
+    void copy() {
+        copied_revision = revision;
+        copied_last_revision = last_revision;
+        copied_record = record;
+    }
+
+    void restore() {
+        ++era.value;
+        revision = copied_revision;
+        last_revision = copied_last_revision;
+        record = copied_record;
+    }
 
     /// @return the revision written, or no value if the condition does not hold
     std::optional<std::uint64_t> write(std::uint64_t expected, const quota_lease_record& to) {
@@ -58,7 +75,7 @@
     time_point answered{}; ///< time_point::max() if the answer is lost
     bool done = false;
     std::optional<std::uint64_t> written;
-    std::uint64_t seen_revision = 0;
+    object_revision seen_revision; ///< after the write
     quota_lease_record seen;
 };
 
@@ -83,6 +100,7 @@
     bool paused = false;
     bool is_cut = false; ///< from the store and all VMs
     incarnation life{1};
+    store_era era; ///< latest that it knows
     quota_lease lease;
     quota_bucket bucket;
     bool has_bucket = false;
@@ -139,6 +157,7 @@
         it.demand = demand;
         it.clock_rate = clock_rate;
         it.limit = limits.back().limit;
+        it.era = store.era; // named by the list of VMs, which comes first
         it.lease.write_started = local(i);
         it.fleet.started = local(i);
     }
@@ -150,8 +169,8 @@
         store_call call;
         call.vm = i;
         call.life = it.life;
-        call.expected = action == quota_lease_action::create ? 0 : it.lease.revision;
-        call.record = next_record(it.lease, hash(i), it.life, local(i));
+        call.expected = action == quota_lease_action::create ? 0 : it.lease.revision.value;
+        call.record = next_record(it.lease, hash(i), it.life, it.era, local(i));
         call.sent = now;
         call.sent_local = local(i);
         // A third of the writes is late, and most of these have lost their answer.
@@ -171,7 +190,7 @@
             if (!call.done && call.takes_effect <= now) {
                 call.done = true;
                 call.written = store.write(call.expected, call.record);
-                call.seen_revision = store.revision;
+                call.seen_revision = {store.era, store.revision};
                 call.seen = store.record;
             }
         }
@@ -194,14 +213,27 @@
         });
     }
 
+    static void learn_era(fake_vm& it, store_era era) {
+        if (era > it.era) {
+            it.era = era;
+            note_new_era(it.lease);
+        }
+    }
+
     void handle_answer(fake_vm& it, store_call& call) {
         const bool was_holder = it.lease.is_holder;
-        if (call.written) {
-            note_written(it.lease, *call.written, call.record, call.sent_local);
+        const auto era = call.seen_revision.era;
+        learn_era(it, era);
+        if (call.written && era == call.record.era) {
+            note_written(it.lease, call.seen_revision, call.record, call.sent_local);
             if (!was_holder && it.lease.is_holder) {
                 it.has_bucket = false;
                 it.starts_full = call.expected == 0 && !it.lease.may_have_former;
             }
+        } else if (era < it.era) {
+            note_write_failed(it.lease);
+        } else if (call.seen_revision.value == 0) {
+            note_lost(it.lease, era);
         } else {
             note_write_failed(it.lease);
             note_seen(it.lease, call.seen_revision, call.seen, hash(call.vm), it.life, local(call.vm));
@@ -217,15 +249,19 @@
     void exchange_statuses() {
         for (std::size_t from = 0; from < vm_count; ++from) {
             for (std::size_t to = 0; to < vm_count; ++to) {
+                if (from == to || !is_active(from) || !is_active(to) || !reaches(from, to)) {
+                    continue;
+                }
                 const auto& known = vms[from].lease;
-                if (from == to || known.revision == 0 || !is_active(from) || !is_active(to) ||
-                    !reaches(from, to)) {
+                const auto era = vms[from].era;
+                learn_era(vms[to], era);
+                if (known.revision.value == 0 || known.revision.era != era || is_copied(known)) {
                     continue;
                 }
                 // A status names the holder, but not its incarnation.
-                note_seen(vms[to].lease, known.revision,
-                          {known.record.holder, {}, known.record.term, known.record.released}, hash(to),
-                          vms[to].life, local(to));
+                quota_lease_record named{known.record.holder, {}, known.record.term, known.record.released};
+                named.era = era;
+                note_seen(vms[to].lease, known.revision, named, hash(to), vms[to].life, local(to));
             }
         }
     }
@@ -337,8 +373,8 @@
                     write_lease(i, action);
                 } else if (is_early) {
                     // Too early by the rules of the candidates, which safety must not depend on.
-                    write_lease(i,
-                                lease.revision == 0 ? quota_lease_action::create : quota_lease_action::take);
+                    write_lease(i, lease.revision.value == 0 ? quota_lease_action::create
+                                                             : quota_lease_action::take);
                 }
                 send_requests(i);
             }
@@ -395,7 +431,7 @@
     }
 
     void take_step(std::uint32_t step) {
-        const auto action = take_choice(step, 12);
+        const auto action = take_choice(step, 15);
         const auto i = take_choice(step, vm_count);
         auto& it = vms[i];
         switch (action) {
@@ -427,6 +463,12 @@
         case 9:
             rest();
             break;
+        case 10:
+            store.copy();
+            break;
+        case 11:
+            store.restore();
+            break;
         default:
             set_demand(take_choice(step, 4));
             break;
@@ -436,7 +478,7 @@
 };
 
 // Guards against more requests in a sliding window than the quota allows, and against two allocators at a
-// time, whatever is lost, late, cut, paused, killed, restarted or stopped.
+// time, whatever is lost, late, cut, paused, killed, restarted, stopped or taken back to an older copy.
 TEST(quota_fuzz, no_window_passes_the_bound) {
     std::size_t sent = 0;
     check_with_seed(907, 400, [&sent] {
--- a/tests/unit/quota_lease_explore_test.cpp
+++ b/tests/unit/quota_lease_explore_test.cpp
@@ -40,6 +40,11 @@
     [[nodiscard]] time_point now() const { return start + steps * step_time; }
 };
 
+/// Revision of a store that names no era.
+object_revision numbered(std::uint64_t value) {
+    return {store_era{}, value};
+}
+
 vm_hash hash(std::size_t vm) {
     return 10 + vm;
 }
@@ -68,7 +73,7 @@
     append(out, it.record);
     for (std::size_t i = 0; i < vm_count; ++i) {
         const auto& lease = it.leases[i];
-        append(out, lease.revision);
+        append(out, lease.revision.value);
         append(out, lease.record);
         append(out, std::max(oldest, lease.learned_at));
         append(out, lease.is_holder ? std::max(oldest, lease.grants_from) : time_point{});
@@ -94,11 +99,11 @@
         it.record = write.record;
     }
     if (write.waits && answers && is_written) {
-        note_written(lease, it.revision, write.record, write.sent);
+        note_written(lease, numbered(it.revision), write.record, write.sent);
     } else if (write.waits) {
         note_write_failed(lease);
         if (answers) {
-            note_seen(lease, it.revision, it.record, hash(vm), incarnation{1}, it.now());
+            note_seen(lease, numbered(it.revision), it.record, hash(vm), incarnation{1}, it.now());
         }
     }
     write = {};
@@ -126,8 +131,8 @@
     if (!write.exists && !lease.is_writing && from.writes_left > 0 && may_write) {
         auto it = from;
         --it.writes_left;
-        it.pending[vm] = {true, true, lease.revision,
-                          next_record(lease, hash(vm), incarnation{1}, from.now()), from.now()};
+        it.pending[vm] = {true, true, lease.revision.value,
+                          next_record(lease, hash(vm), incarnation{1}, store_era{}, from.now()), from.now()};
         note_write_started(it.leases[vm], from.now());
         out.push_back(it);
     }
@@ -195,7 +200,7 @@
     it.record = {hash(0), incarnation{1}, 1, false};
     it.leases[0].may_have_former = false;
     note_write_started(it.leases[0], start);
-    note_written(it.leases[0], 1, it.record, start);
+    note_written(it.leases[0], numbered(1), it.record, start);
     return it;
 }
 
--- a/tests/unit/quota_lease_test.cpp
+++ b/tests/unit/quota_lease_test.cpp
@@ -11,13 +11,19 @@
 constexpr vm_hash other = 8;
 constexpr incarnation life{3};
 constexpr time_point start{100s};
+constexpr store_era no_era{};
+
+/// Revision of a store that names no era.
+constexpr object_revision numbered(std::uint64_t value) {
+    return {no_era, value};
+}
 
 /// Lease that this VM has written at `start`, as the first revision.
 quota_lease held_lease() {
     quota_lease lease;
     lease.may_have_former = false;
     note_write_started(lease, start);
-    note_written(lease, 10, next_record(lease, own, life, start), start);
+    note_written(lease, numbered(10), next_record(lease, own, life, no_era, start), start);
     return lease;
 }
 
@@ -28,10 +34,10 @@
     auto lease = held_lease();
     stop_granting(lease);
     EXPECT_EQ(quota_lease_action::release, next_action(lease, own, 0, start + 300ms));
-    const auto record = next_record(lease, own, life, start);
+    const auto record = next_record(lease, own, life, no_era, start);
     EXPECT_TRUE(record.released);
     note_write_started(lease, start + 300ms);
-    note_written(lease, 11, record, start + 300ms);
+    note_written(lease, numbered(11), record, start + 300ms);
     for (auto at = start; at < start + 3s; at += 10ms) {
         EXPECT_FALSE(may_grant(lease, at));
         EXPECT_EQ(quota_lease_action::none, next_action(lease, own, 0, at));
@@ -42,11 +48,11 @@
 // and has to be released, not used.
 TEST(quota_lease, is_released_after_a_renewal_in_progress) {
     auto lease = held_lease();
-    const auto renewal = next_record(lease, own, life, start);
+    const auto renewal = next_record(lease, own, life, no_era, start);
     note_write_started(lease, start + 500ms);
     stop_granting(lease);
     EXPECT_EQ(quota_lease_action::none, next_action(lease, own, 0, start + 501ms));
-    note_written(lease, 11, renewal, start + 500ms);
+    note_written(lease, numbered(11), renewal, start + 500ms);
     EXPECT_FALSE(may_grant(lease, start + 502ms));
     EXPECT_EQ(quota_lease_action::release, next_action(lease, own, 0, start + 502ms));
 }
@@ -67,7 +73,7 @@
 TEST(quota_lease, is_valid_from_the_sending_of_the_write_that_succeeded) {
     auto lease = held_lease();
     note_write_started(lease, start + 500ms);
-    note_written(lease, 11, next_record(lease, own, life, start), start + 500ms);
+    note_written(lease, numbered(11), next_record(lease, own, life, no_era, start), start + 500ms);
     EXPECT_TRUE(may_grant(lease, start + 500ms + quota_lease_time - 1ms));
     EXPECT_FALSE(may_grant(lease, start + 500ms + quota_lease_time));
 }
@@ -89,11 +95,11 @@
     quota_lease lease;
     lease.may_have_former = param.may_have_former;
     if (param.known_revision != 0) {
-        note_seen(lease, param.known_revision, {other, {}, 5, param.released}, own, life, start);
+        note_seen(lease, numbered(param.known_revision), {other, {}, 5, param.released}, own, life, start);
     }
     const auto taken_at = start + 100ms;
     note_write_started(lease, taken_at);
-    note_written(lease, 11, next_record(lease, own, life, start), taken_at);
+    note_written(lease, numbered(11), next_record(lease, own, life, no_era, start), taken_at);
     EXPECT_FALSE(may_grant(lease, taken_at + param.grants_after - 1ms));
     EXPECT_TRUE(lease.is_holder);
     EXPECT_EQ(taken_at + param.grants_after, lease.grants_from);
@@ -121,7 +127,7 @@
 TEST_P(quota_lease_attempt, follows_the_order_of_the_candidates) {
     const auto& param = GetParam();
     quota_lease lease;
-    note_seen(lease, 10, {other, {}, 5, param.released}, own, life, start);
+    note_seen(lease, numbered(10), {other, {}, 5, param.released}, own, life, start);
     EXPECT_EQ(param.action, next_action(lease, own, param.position, start + param.silence));
 }
 
@@ -141,10 +147,10 @@
 // Guards against a lease that is extended by a renewal without an answer.
 TEST(quota_lease, is_not_extended_by_a_renewal_whose_answer_is_lost) {
     auto lease = held_lease();
-    const auto renewal = next_record(lease, own, life, start);
+    const auto renewal = next_record(lease, own, life, no_era, start);
     note_write_started(lease, start + 500ms);
     note_write_failed(lease);
-    note_seen(lease, 11, renewal, own, life, start + 600ms);
+    note_seen(lease, numbered(11), renewal, own, life, start + 600ms);
     EXPECT_TRUE(lease.is_holder);
     EXPECT_TRUE(may_grant(lease, start + quota_lease_time - 1ms));
     EXPECT_FALSE(may_grant(lease, start + quota_lease_time));
@@ -153,11 +159,11 @@
 // Guards against a VM that grants because it sees a record of its own that it was never told to have written.
 TEST(quota_lease, is_not_held_after_a_late_write_of_a_candidate) {
     quota_lease lease;
-    note_seen(lease, 10, {other, {}, 5, false}, own, life, start);
-    const auto record = next_record(lease, own, life, start);
+    note_seen(lease, numbered(10), {other, {}, 5, false}, own, life, start);
+    const auto record = next_record(lease, own, life, no_era, start);
     note_write_started(lease, start + 2s);
     note_write_failed(lease);
-    note_seen(lease, 11, record, own, life, start + 5s);
+    note_seen(lease, numbered(11), record, own, life, start + 5s);
     EXPECT_FALSE(lease.is_holder);
     EXPECT_FALSE(may_grant(lease, start + 5s));
 }
@@ -174,7 +180,7 @@
 // Guards against a holder that ignores its successor, also one with its own id after a restart.
 TEST_P(quota_lease_seen, ends_the_lease_if_another_process_has_written_it) {
     auto lease = held_lease();
-    note_seen(lease, GetParam().revision, GetParam().record, own, life, start + 100ms);
+    note_seen(lease, numbered(GetParam().revision), GetParam().record, own, life, start + 100ms);
     EXPECT_EQ(GetParam().still_holds, may_grant(lease, start + 100ms));
 }
 
@@ -188,24 +194,24 @@
 // Guards against a write that is answered after another VM has taken the lease, such as after a pause.
 TEST(quota_lease, is_not_held_if_the_answer_arrives_after_that_of_a_newer_revision) {
     auto lease = held_lease();
-    const auto renewal = next_record(lease, own, life, start);
+    const auto renewal = next_record(lease, own, life, no_era, start);
     note_write_started(lease, start + 500ms);
-    note_seen(lease, 12, {other, life, 9, false}, own, life, start + 4s);
-    note_written(lease, 11, renewal, start + 500ms);
+    note_seen(lease, numbered(12), {other, life, 9, false}, own, life, start + 4s);
+    note_written(lease, numbered(11), renewal, start + 500ms);
     EXPECT_FALSE(lease.is_holder);
-    EXPECT_EQ(12U, lease.revision);
+    EXPECT_EQ(numbered(12), lease.revision);
 }
 
 // Guards against waiting, after a restart, for a lease that a former life of this VM held, when a status has
 // named the lease before the store did.
 TEST(quota_lease, of_a_former_life_is_taken_at_once) {
     quota_lease lease;
-    note_seen(lease, 10, {own, {}, 0, false}, own, life, start);
-    note_seen(lease, 10, {own, incarnation{2}, 5, false, 0}, own, life, start + 10ms);
+    note_seen(lease, numbered(10), {own, {}, 0, false}, own, life, start);
+    note_seen(lease, numbered(10), {own, incarnation{2}, 5, false, 0}, own, life, start + 10ms);
     EXPECT_EQ(quota_lease_action::take, next_action(lease, own, 0, start + 11ms));
-    const auto record = next_record(lease, own, life, start + 11ms);
+    const auto record = next_record(lease, own, life, no_era, start + 11ms);
     note_write_started(lease, start + 11ms);
-    note_written(lease, 11, record, start + 11ms);
+    note_written(lease, numbered(11), record, start + 11ms);
     EXPECT_TRUE(may_grant(lease, start + 12ms));
 }
 
@@ -213,13 +219,84 @@
 // restarted.
 TEST(quota_lease, of_a_former_life_keeps_the_end_of_the_lease_before_it) {
     quota_lease lease;
-    note_seen(lease, 10, {own, incarnation{2}, 5, false, 700}, own, life, start);
-    const auto record = next_record(lease, own, life, start);
+    note_seen(lease, numbered(10), {own, incarnation{2}, 5, false, 700}, own, life, start);
+    const auto record = next_record(lease, own, life, no_era, start);
     note_write_started(lease, start);
-    note_written(lease, 11, record, start);
+    note_written(lease, numbered(11), record, start);
     EXPECT_FALSE(may_grant(lease, start + 700ms));
     EXPECT_TRUE(may_grant(lease, start + 700ms + quota_lease_margin));
-    EXPECT_GE(next_record(lease, own, life, start + 100ms).gate_ms, 600U);
+    EXPECT_GE(next_record(lease, own, life, no_era, start + 100ms).gate_ms, 600U);
+}
+
+// -- eras of the store -----------------------------------------------------------------------------------
+
+constexpr store_era first_era{1};
+constexpr store_era second_era{2};
+constexpr duration full_wait = quota_lease_time + quota_lease_margin;
+
+quota_lease_record record_of(vm_hash holder, bool released, store_era era) {
+    quota_lease_record record{holder, life, 5, released, 0};
+    record.era = era;
+    return record;
+}
+
+struct copied_case {
+    const char* name;
+    quota_lease_record record; ///< as the store shows it in its second era, with a lower revision
+    bool holds = false;        ///< this VM held the lease in the first era
+    duration grants_after;     ///< from the moment at which the record was seen
+};
+
+struct quota_lease_copy : testing::TestWithParam<copied_case> {};
+
+// Guards against tenants without an allocator after the store came back from an older copy, and against two
+// allocators: any VM may have held the lease since the copy was taken.
+TEST_P(quota_lease_copy, is_taken_at_once_and_used_when_all_leases_of_the_former_era_have_ended) {
+    const auto& param = GetParam();
+    quota_lease lease;
+    lease.may_have_former = false;
+    if (param.holds) {
+        note_write_started(lease, start);
+        note_written(lease, {first_era, 90}, next_record(lease, own, life, first_era, start), start);
+    } else {
+        note_seen(lease, {first_era, 90}, record_of(other, false, first_era), own, life, start);
+    }
+    const auto seen_at = start + 700ms;
+    note_seen(lease, {second_era, 40}, param.record, own, life, seen_at);
+    EXPECT_FALSE(may_grant(lease, seen_at));
+    EXPECT_EQ(quota_lease_action::take, next_action(lease, own, 0, seen_at));
+    const auto record = next_record(lease, own, life, second_era, seen_at);
+    note_write_started(lease, seen_at);
+    note_written(lease, {second_era, 41}, record, seen_at);
+    EXPECT_EQ(seen_at + param.grants_after, lease.grants_from);
+    EXPECT_EQ(second_era, lease.record.era);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    records, quota_lease_copy,
+    testing::Values(copied_case{"of_another_vm", record_of(other, false, first_era), false, full_wait},
+                    copied_case{"released", record_of(other, true, first_era), false, full_wait},
+                    copied_case{"own", record_of(own, false, first_era), false, full_wait},
+                    copied_case{"own_while_it_holds", record_of(own, false, first_era), true, full_wait},
+                    copied_case{"of_another_vm_while_it_holds", record_of(other, false, first_era), true,
+                                full_wait},
+                    copied_case{"released_in_the_new_era", record_of(other, true, second_era), false, 0ms}),
+    [](const auto& it) { return it.param.name; });
+
+// Guards against a lease that is never taken again because the copy has no object of it.
+TEST(quota_lease, that_the_copy_lacks_is_created_and_used_after_the_former_one_has_ended) {
+    auto lease = held_lease();
+    note_write_started(lease, start + 500ms);
+    note_lost(lease, second_era);
+    EXPECT_FALSE(may_grant(lease, start + 510ms));
+    note_seen(lease, {first_era, 95}, record_of(other, false, first_era), own, life, start + 520ms);
+    EXPECT_EQ(0U, lease.revision.value); // the status of a peer in the former era
+    const auto created_at = start + 1s;
+    EXPECT_EQ(quota_lease_action::create, next_action(lease, own, 0, created_at));
+    const auto record = next_record(lease, own, life, second_era, created_at);
+    note_write_started(lease, created_at);
+    note_written(lease, {second_era, 12}, record, created_at);
+    EXPECT_EQ(created_at + full_wait, lease.grants_from);
 }
 
 } // namespace
