Keep a part of the room for new requests beside callers that return

Cause: in overload, callers that return go before new requests and are never refused early. On the main route 22,542 of 22,776 requests count as such and take all the room; new requests are refused at once. Routes whose callers have a short deadline and cannot return were hardly served.

Change: new requests of a rank keep new_request_floor of the rank's room. While they have less, they go first, and forecasts count on that part.

Before: unit.callers_that_send_once fails in 3 of 3 cases, with none of these requests served. After: they pass with the 41 other tests of room and its plays.

--- a/include/endivelever/decide/room.hpp
+++ b/include/endivelever/decide/room.hpp
@@ -13,6 +13,10 @@
 /// Share of the room that each rank with waiting requests keeps.
 constexpr double rank_floor = 0.1;
 
+/// Share of a rank's room that new requests keep, however many callers return. Callers that cannot return,
+/// for instance because of a short deadline, are served from it.
+constexpr double new_request_floor = 0.15;
+
 /// Time that requests of one route occupy a slot of a server of one service.
 struct work_estimate {
     duration mean{};
@@ -34,6 +38,7 @@
     std::map<int, decayed_sum> arrived; ///< new requests, by class of work (see room.cpp)
     decayed_sum returned;               ///< callers that returned after a refusal
     decayed_sum sent;                   ///< sent to servers
+    decayed_sum sent_new;               ///< part of it for new requests
     time_point next_return{};           ///< when the next refused caller may return
 };
 
@@ -107,13 +112,13 @@
 
 /// Part of the room that is left to a request: without the work that keeps arriving and goes before it (more
 /// urgent ranks, returning callers and shorter work of its rank) and without the floors of less urgent ranks.
-/// At least rank_floor for the shortest work of a rank.
+/// At least rank_floor for a rank, and new_request_floor of that for its new requests of the shortest work.
 double room_share(const room_state& state, const room_forecast& room, const waiting_request& it,
                   time_point now);
 
 /// Orders the queue: by rank; within a rank, tenants that are served far too little, then those within their
-/// share; callers that return before new ones; short work before long; older requests before newer. Hedges
-/// are last.
+/// share; new requests while they have less than new_request_floor; callers that return before new ones;
+/// short work before long; older requests before newer. Hedges are last.
 std::vector<room_place> plan_room(const wait_queue& queue, const room_state& state, const room_forecast& room,
                                   time_point now);
 
--- a/src/decide/room.cpp
+++ b/src/decide/room.cpp
@@ -100,15 +100,30 @@
     return rank.size() < max_tenants ? &rank[it.tenant] : nullptr;
 }
 
-using order_key = std::tuple<bool, std::uint32_t, int, bool, int, time_point>;
+/// True if the new requests of a rank got less than their floor.
+bool is_new_below_floor(const room_state& state, std::uint32_t rank, time_point now) {
+    const auto found = state.ranks.find(rank);
+    if (found == state.ranks.end()) {
+        return false;
+    }
+    const auto& use = found->second;
+    const double sent = value_now(use.sent, rate_period, now);
+    return sent > 0.0 && value_now(use.sent_new, rate_period, now) < new_request_floor * sent;
+}
+
+using order_key = std::tuple<bool, std::uint32_t, int, int, int, time_point>;
 
-order_key order_of(const waiting_request& it, const room_state& state) {
+order_key order_of(const waiting_request& it, const room_state& state, time_point now) {
     const auto* tenant = find_tenant_use(state, it);
     int share = 1;
     if (tenant != nullptr && (tenant->neglected || tenant->over_share)) {
         share = tenant->neglected ? 0 : 2;
     }
-    return {it.purpose == attempt_purpose::hedge, it.rank, share, !is_kept(it), work_class(it), it.arrived};
+    int turn = 1;
+    if (!is_kept(it)) {
+        turn = is_new_below_floor(state, it.rank, now) ? 0 : 2;
+    }
+    return {it.purpose == attempt_purpose::hedge, it.rank, share, turn, work_class(it), it.arrived};
 }
 
 /// Updates the usual requests of the tenants of a rank and marks those that got more than their max-min
@@ -242,6 +257,9 @@
 void note_sent(room_state& state, const waiting_request& it, time_point now) {
     const double work = to_seconds(work_of(it));
     add(state.ranks[it.rank].sent, work, rate_period, now);
+    if (!is_kept(it)) {
+        add(state.ranks[it.rank].sent_new, work, rate_period, now);
+    }
     state.sent_since_review += work;
     state.drained_since_review += it.queued_at <= state.reviewed_at ? work : 0.0;
     if (it.purpose == attempt_purpose::first) {
@@ -306,19 +324,24 @@
     const double all = room.work_per_second * to_seconds(rate_period);
     const auto part = [&](const decayed_sum& sum) { return value_now(sum, rate_period, now) / all; };
     double left = 1.0;
-    double own_before = 0.0;
+    double own_returned = 0.0;
+    double own_shorter = 0.0;
     for (const auto& [rank, use] : state.ranks) {
-        double demand = part(use.returned);
+        const double returned = part(use.returned);
+        double arrived = 0.0;
         for (const auto& [work, sum] : use.arrived) {
-            demand += rank != it.rank || work < work_class(it) ? part(sum) : 0.0;
+            arrived += rank != it.rank || work < work_class(it) ? part(sum) : 0.0;
         }
         if (rank == it.rank) {
-            own_before = demand;
+            own_returned = returned;
+            own_shorter = arrived;
         } else {
-            left -= rank < it.rank ? demand : std::min(demand, rank_floor);
+            left -= rank < it.rank ? returned + arrived : std::min(returned + arrived, rank_floor);
         }
     }
-    return std::max(min_share, std::max(rank_floor, left) - own_before);
+    const double rank_room = std::max(rank_floor, left);
+    const double before = std::min(own_returned, (1.0 - new_request_floor) * rank_room) + own_shorter;
+    return std::max(min_share, rank_room - before);
 }
 
 std::vector<room_place> plan_room(const wait_queue& queue, const room_state& state, const room_forecast& room,
@@ -326,7 +349,7 @@
     std::vector<std::pair<order_key, std::size_t>> order;
     order.reserve(queue.size());
     for (std::size_t i = 0; i < queue.size(); ++i) {
-        order.emplace_back(order_of(queue[i], state), i);
+        order.emplace_back(order_of(queue[i], state, now), i);
     }
     std::sort(order.begin(), order.end());
     std::vector<room_place> plan;
@@ -373,7 +396,7 @@
             continue;
         }
         const std::tuple order{now + own_offer.predicted_latency > due_at(it),
-                               !is_below_floor(state, it.rank, sent, now), order_of(it, state)};
+                               !is_below_floor(state, it.rank, sent, now), order_of(it, state, now)};
         if (!best || order < best_order) {
             best = i;
             best_order = order;
