--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -112,6 +112,10 @@
     set_cold_gauges(board);
     gauges["gateway_evacuated_domains"] = static_cast<double>(board.evacuations.domains.size());
     gauges["gateway_store_calls"] = static_cast<double>(board.store_access.counts.calls);
+    gauges["gateway_store_era"] = static_cast<double>(board.store_access.era.value);
+    gauges["gateway_servers_era"] = static_cast<double>(board.servers_revision.era.value);
+    gauges["gateway_evacuations_era"] = static_cast<double>(board.evacuations.revision.era.value);
+    gauges["gateway_store_responses_outdated"] = static_cast<double>(board.store_access.counts.outdated);
     gauges["gateway_store_call_failures"] = static_cast<double>(board.store_access.counts.failures);
     set_quantiles(board.counters, "gateway_request_seconds", "", board.latency);
     for (const auto& it : board.services) {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -49,13 +49,37 @@
     auto& it = servers.emplace_back();
     it.target = std::make_unique<fake_target>(loop.get(), id);
     it.link = std::move(*testbed::forwarder::open(it.target->address()));
+    it.may_be_evacuated = servers.size() % 2 == 0;
+    put_entry(servers.size() - 1);
+}
+
+void soak_run::put_entry(std::size_t index) {
+    const auto& it = servers[index];
     auto entry = it.target->entry(service);
     entry["address"] = it.link->address().text;
-    it.may_be_evacuated = servers.size() % 2 == 0;
     if (it.may_be_evacuated) {
         entry["zone"] = evacuated_domain;
     }
-    store.put("servers", id, entry);
+    store.put("servers", "i-" + std::to_string(index), entry);
+}
+
+void soak_run::return_store_from_copy() {
+    const bool evacuated = store.has("evacuations", evacuated_domain);
+    store.restore();
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const auto id = "i-" + std::to_string(i);
+        if (servers[i].registered) {
+            put_entry(i);
+        } else if (store.has("servers", id)) {
+            store.remove("servers", id);
+        }
+    }
+    if (evacuated) {
+        store.put("evacuations", evacuated_domain, json::object());
+    } else if (store.has("evacuations", evacuated_domain)) {
+        store.remove("evacuations", evacuated_domain);
+    }
+    put_config();
 }
 
 void soak_run::add_gateway(std::size_t index) {
@@ -228,6 +252,11 @@
     {"store_forgets", [](soak_run& run, std::size_t, std::size_t) { run.store.forget_history(); }},
     {"store_cuts_watches", [](soak_run& run, std::size_t, std::size_t) { run.store.cut_watches(); }},
     {"store_loses_answers", [](soak_run& run, std::size_t, std::size_t) { run.store.lost_writes = 2; }},
+    {"store_returns_from_copy",
+     [](soak_run& run, std::size_t, std::size_t) {
+         run.store.copy();
+         run.end_later(run.fault_length(), [&run] { run.return_store_from_copy(); });
+     }},
     {"store_link",
      [](soak_run& run, std::size_t i, std::size_t) { set_link(run, *run.gateways[i].store_link); }},
     {"store_link_silent", [](soak_run& run, std::size_t i,
@@ -308,6 +337,7 @@
 
 soak_report run_soak(const soak_options& options) {
     soak_run run(options);
+    run.store.era = 1;
     run.put_config();
     for (std::size_t i = 0; i < options.servers; ++i) {
         run.add_server();
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -110,6 +110,9 @@
 
     void put_config();
     void add_server();
+    void put_entry(std::size_t index);
+    /// Brings the store back from its copy. Servers and operators write again what it lacks.
+    void return_store_from_copy();
     void add_gateway(std::size_t index);
     void start(gateway_under_test& it);
     void call(std::size_t index, const char* path, std::function<void(unsigned)> on_status = {});
--- a/tests/unit/peer_table_test.cpp
+++ b/tests/unit/peer_table_test.cpp
@@ -228,7 +228,7 @@
         it.store_answers = false;
         merge_status(table, it, now);
     }
-    update_confirmations(table, {1, 0});
+    update_confirmations(table, {1, {}, {}});
     EXPECT_EQ(now, table.confirmed_at);
     EXPECT_EQ(time_point{}, table.confirmed_by_reader_at);
     for (const auto* name : {"lower", "higher"}) {
@@ -236,7 +236,7 @@
         it.capacity = table.peers.at(vm_id(name)).record.capacity;
         it.knowledge_age_ms = 0;
         merge_status(table, it, now);
-        update_confirmations(table, {1, 0});
+        update_confirmations(table, {1, {}, {}});
         EXPECT_EQ(name == std::string("higher") ? now : time_point{}, table.confirmed_by_reader_at);
     }
 }
